--- /dev/null
+++ b/lycheetide/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line as ``python -m lycheetide``."""
+
+from lycheetide.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lycheetide/bookings/__init__.py
@@ -0,0 +1,28 @@
+"""Requests that may run once at most: their keys and their claims on the log."""
+
+from lycheetide.bookings._claims import (
+    Claim,
+    Decision,
+    OutcomeRecord,
+    Standing,
+    decide,
+    make_claim_record,
+    make_outcome_record,
+    make_release_record,
+)
+from lycheetide.bookings._keys import BookingKey, KeyMode, make_key, parse_key
+
+__all__ = [
+    "BookingKey",
+    "Claim",
+    "Decision",
+    "KeyMode",
+    "OutcomeRecord",
+    "Standing",
+    "decide",
+    "make_claim_record",
+    "make_key",
+    "make_outcome_record",
+    "make_release_record",
+    "parse_key",
+]
--- /dev/null
+++ b/lycheetide/fleet/__init__.py
@@ -0,0 +1,45 @@
+"""The fleet's configuration: what runs where, and how the log decides on changes."""
+
+from lycheetide.fleet._build import FleetBuilder, print_fleet
+from lycheetide.fleet._check import check_document, find_faults
+from lycheetide.fleet._fold import (
+    ConfigState,
+    Verdict,
+    fold,
+    make_change_record,
+    make_snapshot_record,
+    restore,
+)
+from lycheetide.fleet._model import (
+    Customer,
+    FailureDomain,
+    Fleet,
+    Model,
+    Operation,
+    RequestClass,
+    Upstream,
+    decode_entry,
+    encode_entry,
+)
+
+__all__ = [
+    "ConfigState",
+    "Customer",
+    "FailureDomain",
+    "Fleet",
+    "FleetBuilder",
+    "Model",
+    "Operation",
+    "RequestClass",
+    "Upstream",
+    "Verdict",
+    "check_document",
+    "decode_entry",
+    "encode_entry",
+    "find_faults",
+    "fold",
+    "make_change_record",
+    "make_snapshot_record",
+    "print_fleet",
+    "restore",
+]
--- /dev/null
+++ b/lycheetide/fleet/_build.py
@@ -0,0 +1,118 @@
+r"""The operators' library: build a configuration in Python and print it.
+
+Examples
+--------
+>>> fleet = FleetBuilder()
+>>> fleet.add_failure_domain("cork-a", region="munster")
+>>> fleet.add_model("assistant")
+>>> fleet.add_upstream("a1", kind="engine", serves="assistant",
+...                    failure_domain="cork-a", url="http://10.0.0.1:80")
+>>> print_fleet(fleet)[:18]
+'{"models": [\n    {'
+"""
+
+import hashlib
+import json
+
+from lycheetide.fleet._check import check_document
+from lycheetide.fleet._model import (
+    Customer,
+    FailureDomain,
+    Model,
+    Operation,
+    RequestClass,
+    Upstream,
+    encode_entry,
+)
+
+REPLICAS_PER_CELL = 8
+
+
+class FleetBuilder:
+    """Collects the entries of a configuration.
+
+    Parameters
+    ----------
+    replicas_per_cell : int, default=8
+        How many replicas of one model in one region one node owns together.
+    """
+
+    def __init__(self, *, replicas_per_cell=REPLICAS_PER_CELL):
+        self.replicas_per_cell = replicas_per_cell
+        self._entries = {
+            "models": [],
+            "failure_domains": [],
+            "classes": [],
+            "customers": [],
+            "operations": [],
+        }
+        self._upstreams = []
+
+    def add_model(self, name, **fields):
+        """Add a model; fields as in ``Model``."""
+        self._entries["models"].append(Model(name, **fields))
+
+    def add_failure_domain(self, name, *, region, state="in"):
+        """Add a failure domain."""
+        self._entries["failure_domains"].append(FailureDomain(name, region, state))
+
+    def add_upstream(self, name, **fields):
+        """Add a replica; fields as in ``Upstream``; the cell is chosen."""
+        self._upstreams.append((name, fields))
+
+    def add_class(self, name, **fields):
+        """Add a class of request; fields as in ``RequestClass``."""
+        self._entries["classes"].append(RequestClass(name, **fields))
+
+    def add_customer(self, name, *, token, **fields):
+        """Add a customer; only the hash of its token is kept."""
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        self._entries["customers"].append(Customer(name, digest, **fields))
+
+    def add_operation(self, service, name, *, idempotent):
+        """Add an operation of a plain service."""
+        self._entries["operations"].append(Operation(service, name, idempotent))
+
+    def make_document(self):
+        """Return the configuration as plain data, with a cell for each replica."""
+        document = {
+            section: [encode_entry(entry) for entry in entries]
+            for section, entries in self._entries.items()
+        }
+        document["upstreams"] = [encode_entry(row) for row in self._assign_cells()]
+        return document
+
+    def _assign_cells(self):
+        """Yield the replicas; each cell mixes failure domains.
+
+        If a cell lay in one failure domain, taking the domain out would leave the
+        cell's owner with a queue and no replica.
+        """
+        regions = {d.name: d.region for d in self._entries["failure_domains"]}
+        groups = {}
+        for name, fields in self._upstreams:
+            region = regions.get(fields["failure_domain"], "unknown")
+            groups.setdefault((fields["serves"], region), []).append((name, fields))
+        for (serves, region), rows in groups.items():
+            rows.sort(key=lambda row: (row[1]["failure_domain"], row[0]))
+            cells = -(-len(rows) // self.replicas_per_cell)
+            for index, (name, fields) in enumerate(rows):
+                cell = f"{serves}.{region}.{index % cells}"
+                yield Upstream(name=name, **({"cell": cell} | fields))
+
+
+def print_fleet(builder):
+    """Return the checked configuration as the JSON text to publish.
+
+    Raises
+    ------
+    ExceptionGroup
+        With one ``SettingsError`` for each finding.
+    """
+    document = builder.make_document()
+    check_document(document, place="the configuration")
+    sections = []
+    for section, rows in document.items():
+        lines = ",\n".join("    " + json.dumps(row) for row in rows)
+        sections.append(f"{json.dumps(section)}: [\n{lines}\n  ]")
+    return "{" + ",\n  ".join(sections) + "}\n"
--- /dev/null
+++ b/lycheetide/fleet/_check.py
@@ -0,0 +1,215 @@
+"""Check a configuration as a whole and report every fault with its place."""
+
+import json
+
+import msgspec
+
+from lycheetide.fleet._model import ENTRY_TYPES, Fleet, decode_entry
+from lycheetide.settings import Finding, SettingsError
+
+DOMAIN_STATES = ("in", "out", "returning")
+UPSTREAM_STATES = ("in", "leaving")
+UPSTREAM_KINDS = ("engine", "service")
+SHA256_DIGITS = 64
+
+
+def find_faults(fleet):
+    """Yield a finding for each entry that is wrong or refers to nothing.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The configuration.
+
+    Yields
+    ------
+    tuple of (str, str, str, str, str)
+        Section, entry, field, what came and what was expected.
+    """
+    yield from _find_domain_faults(fleet)
+    yield from _find_upstream_faults(fleet)
+    yield from _find_cell_faults(fleet)
+    yield from _find_class_faults(fleet)
+    yield from _find_customer_faults(fleet)
+    yield from _find_operation_faults(fleet)
+
+
+def _find_domain_faults(fleet):
+    for name, domain in fleet.failure_domains.items():
+        if domain.state not in DOMAIN_STATES:
+            expected = " or ".join(DOMAIN_STATES)
+            yield "failure_domains", name, "state", repr(domain.state), expected
+
+
+def _find_upstream_faults(fleet):
+    section = "upstreams"
+    services = {operation.service for operation in fleet.operations.values()}
+    for name, upstream in fleet.upstreams.items():
+        if upstream.kind not in UPSTREAM_KINDS:
+            expected = " or ".join(UPSTREAM_KINDS)
+            yield section, name, "kind", repr(upstream.kind), expected
+        if upstream.state not in UPSTREAM_STATES:
+            expected = " or ".join(UPSTREAM_STATES)
+            yield section, name, "state", repr(upstream.state), expected
+        if upstream.failure_domain not in fleet.failure_domains:
+            came = repr(upstream.failure_domain)
+            yield section, name, "failure_domain", came, "a known failure domain"
+        known = fleet.models if upstream.kind == "engine" else services
+        if upstream.serves not in known:
+            yield section, name, "serves", repr(upstream.serves), "a known name"
+        if not upstream.url.startswith(("http://", "https://")):
+            yield section, name, "url", repr(upstream.url), "an HTTP URL"
+        if not 0 < upstream.cold_limit_requests <= upstream.warm_limit_requests:
+            came = str(upstream.cold_limit_requests)
+            expected = "from 1 to warm_limit_requests"
+            yield section, name, "cold_limit_requests", came, expected
+        if upstream.prefill_tokens_per_s <= 0:
+            came = str(upstream.prefill_tokens_per_s)
+            yield section, name, "prefill_tokens_per_s", came, "more than 0"
+
+
+def _find_cell_faults(fleet):
+    """A cell has one owner, so it serves one name in one region."""
+    seen = {}
+    for name, upstream in fleet.upstreams.items():
+        domain = fleet.failure_domains.get(upstream.failure_domain)
+        region = domain.region if domain else None
+        first = seen.setdefault(upstream.cell, (upstream.serves, region))
+        if first != (upstream.serves, region):
+            expected = f"a cell of {upstream.serves} in {region}"
+            yield "upstreams", name, "cell", repr(upstream.cell), expected
+
+
+def _find_class_faults(fleet):
+    for name, request_class in fleet.classes.items():
+        for key in ("deadline_s", "aging_s", "max_wait_s"):
+            value = getattr(request_class, key)
+            if value <= 0:
+                yield "classes", name, key, str(value), "more than 0"
+
+
+def _find_customer_faults(fleet):
+    owners = {}
+    for name, customer in fleet.customers.items():
+        if len(customer.token_sha256) != SHA256_DIGITS:
+            came = f"{len(customer.token_sha256)} digits"
+            yield "customers", name, "token_sha256", came, f"{SHA256_DIGITS} digits"
+        elif owners.setdefault(customer.token_sha256, name) != name:
+            came = f"the token of {owners[customer.token_sha256]}"
+            yield "customers", name, "token_sha256", came, "a token of its own"
+        if customer.weight <= 0:
+            yield "customers", name, "weight", str(customer.weight), "more than 0"
+
+
+def _find_operation_faults(fleet):
+    served = {
+        upstream.serves
+        for upstream in fleet.upstreams.values()
+        if upstream.kind == "service"
+    }
+    for name, operation in fleet.operations.items():
+        if operation.service not in served:
+            came = repr(operation.service)
+            yield "operations", name, "service", came, "a service with an upstream"
+
+
+def check_document(document, *, place):
+    """Build a fleet from plain data.
+
+    Parameters
+    ----------
+    document : mapping
+        For each section, a list of entries.
+    place : str
+        Where it came from, for the findings.
+
+    Returns
+    -------
+    Fleet
+        The checked configuration.
+
+    Raises
+    ------
+    ExceptionGroup
+        With one ``SettingsError`` for each finding.
+    """
+    findings = []
+    sections = {}
+    for section, rows in document.items():
+        if section not in ENTRY_TYPES:
+            findings.append(
+                Finding(place, section, "", 0, "an unknown section", "a known one")
+            )
+            continue
+        sections[section] = _decode_rows(section, rows, place, findings)
+    fleet = Fleet(**sections)
+    findings.extend(
+        Finding(place, f"{section}/{name}", key, 0, came, expected)
+        for section, name, key, came, expected in find_faults(fleet)
+    )
+    if findings:
+        raise ExceptionGroup(
+            "broken configuration", [SettingsError(finding) for finding in findings]
+        )
+    return fleet
+
+
+def _decode_rows(section, rows, place, findings):
+    """Decode one section; what can't be decoded becomes a finding."""
+    entries = {}
+    for index, row in enumerate(rows):
+        name = entry_name(section, row)
+        try:
+            entry = decode_entry(section, row)
+        except (msgspec.ValidationError, TypeError) as error:
+            findings.append(
+                Finding(
+                    place, f"{section}/{name or index}", "", 0, str(error), "an entry"
+                )
+            )
+            continue
+        if name in entries:
+            findings.append(
+                Finding(place, f"{section}/{name}", "name", 0, "twice", "once")
+            )
+        entries[name] = entry
+    return entries
+
+
+def entry_name(section, row):
+    """Return the name under which an entry, as plain data, is kept."""
+    if not isinstance(row, dict):
+        return ""
+    if section == "operations":
+        return f"{row.get('service', '')}/{row.get('name', '')}"
+    return str(row.get("name", ""))
+
+
+def place_lines(text, findings):
+    """Give findings of a JSON text the line on which their entry's name stands.
+
+    Parameters
+    ----------
+    text : str
+        The document, one name a line as ``print_fleet`` writes it.
+    findings : iterable of Finding
+        Findings without a line.
+
+    Yields
+    ------
+    Finding
+        The same findings, with lines where the name was found.
+    """
+    lines = text.splitlines()
+    for finding in findings:
+        name = json.dumps(finding.section.rpartition("/")[2])
+        wanted = f'"name": {name}'
+        line = next((n for n, row in enumerate(lines, 1) if wanted in row), 0)
+        yield Finding(
+            finding.place,
+            finding.section,
+            finding.key,
+            line,
+            finding.came,
+            finding.expected,
+        )
--- /dev/null
+++ b/lycheetide/node/_door.py
@@ -0,0 +1,388 @@
+"""The callers' door: HTTP in, server-sent events out."""
+
+from collections.abc import AsyncIterator
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, StreamingResponse
+from starlette.routing import Route
+
+from lycheetide.metrics import get_log
+from lycheetide.node._bookings import issue_key, read_key, serve_booking
+from lycheetide.node._prompts import Prompt, Token, serve_prompt, to_request_error
+from lycheetide.node._services import serve_lookup
+from lycheetide.node._state import draw_id, read_clock
+from lycheetide.outcomes import NotRun, Reason, RequestError
+from lycheetide.routing import (
+    Admitted,
+    authenticate,
+    check_body_size,
+    count_tokens,
+    find_class,
+    find_deadline,
+)
+
+DONE = b"data: [DONE]\n\n"
+TOKENS_BUFFERED = 64
+LARGEST_ANSWER_TOKENS = 32_768
+REQUEST_ID = "x-request-id"
+
+log = get_log("door")
+
+
+class PromptBody(msgspec.Struct, frozen=True):
+    """The body of ``POST /v1/completions``."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 256
+    stream: bool = False
+
+
+async def read_body(request, largest_bytes):
+    """Read a body, but no more than is allowed.
+
+    Raises
+    ------
+    NotRun
+        If it is too large.
+    """
+    announced = request.headers.get("content-length", "")
+    if announced.isdigit():
+        check_body_size(int(announced), largest_bytes)
+    parts = []
+    size = 0
+    async for part in request.stream():
+        size += len(part)
+        check_body_size(size, largest_bytes)
+        parts.append(part)
+    return b"".join(parts)
+
+
+def admit(node, request, request_id):
+    """Check who asks, and for what class and deadline.
+
+    Raises
+    ------
+    NotRun
+        If the request can't be let in.
+    """
+    now_s = read_clock()
+    if not node.is_life("accepting"):
+        raise NotRun(Reason.NOT_READY, f"this node is {node.life}", retry_after_s=1.0)
+    headers = request.headers
+    customer = authenticate(
+        headers.get("authorization", ""), node.fleet.customers.values()
+    )
+    request_class = find_class(headers.get("x-class", ""), node.fleet.classes)
+    deadline_s = find_deadline(
+        headers.get("x-deadline-ms", ""), request_class, now_s=now_s
+    )
+    return Admitted(request_id, customer, request_class, now_s, deadline_s)
+
+
+def parse_prompt(body, fleet):
+    """Read and check the body of a prompt.
+
+    Raises
+    ------
+    NotRun
+        With what came and what was expected.
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=PromptBody)
+    except msgspec.MsgspecError as error:
+        raise NotRun(Reason.BAD_BODY, str(error), status=400) from None
+    model = fleet.models.get(parsed.model)
+    if model is None:
+        known = ", ".join(sorted(fleet.models)) or "none"
+        raise NotRun(
+            Reason.UNKNOWN_MODEL,
+            f"got model {parsed.model!r}, known are {known}",
+            status=404,
+        )
+    if not 0 < parsed.max_tokens <= LARGEST_ANSWER_TOKENS:
+        raise NotRun(
+            Reason.BAD_BODY,
+            f"got max_tokens {parsed.max_tokens}, "
+            f"expected from 1 to {LARGEST_ANSWER_TOKENS}",
+            status=400,
+        )
+    tokens = count_tokens(parsed.prompt)
+    if tokens > model.max_prompt_tokens:
+        raise NotRun(
+            Reason.PROMPT_TOO_LONG,
+            f"got {tokens} tokens, expected at most {model.max_prompt_tokens}",
+            status=413,
+        )
+    return parsed
+
+
+def make_error_response(error, request_id):
+    """Return the answer to a caller whose request ended without one."""
+    headers = {REQUEST_ID: request_id}
+    if error.retry_after_s:
+        headers["retry-after"] = str(max(1, round(error.retry_after_s)))
+    return JSONResponse(
+        {"error": describe_error(error)}, status_code=error.status, headers=headers
+    )
+
+
+def describe_error(error):
+    """Return a typed error as plain data."""
+    described = {
+        "outcome": str(error.outcome),
+        "reason": str(error.reason),
+        "message": error.message,
+    }
+    if error.retry_after_s:
+        described["retry_after_ms"] = int(error.retry_after_s * 1000)
+    return described
+
+
+class Door:
+    """The caller's routes of one node.
+
+    Parameters
+    ----------
+    node : NodeState
+        The node.
+    """
+
+    def __init__(self, node):
+        self.node = node
+
+    def make_app(self):
+        """Return the HTTP application."""
+        return Starlette(
+            routes=[
+                Route("/healthz", self.tell_health),
+                Route("/readyz", self.tell_ready),
+                Route("/v1/completions", self.complete, methods=["POST"]),
+                Route("/v1/keys", self.issue, methods=["POST"]),
+                Route(
+                    "/v1/services/{service}/{operation}",
+                    self.call,
+                    methods=["POST"],
+                ),
+            ]
+        )
+
+    async def tell_health(self, request):
+        """Say that the process runs."""
+        return JSONResponse({"node": self.node.own.host})
+
+    async def tell_ready(self, request):
+        """Tell the balancer whether to send callers here."""
+        ready = self.node.is_life("ready")
+        return JSONResponse({"state": self.node.life}, 200 if ready else 503)
+
+    async def _guard(self, request, serve):
+        """Run one request and turn whatever it raises into an answer."""
+        request_id = draw_id()
+        node = self.node
+        node.counters.add("requests")
+        node.active[request_id] = read_clock()
+        keeps_active = False
+        try:
+            response, keeps_active = await serve(request, request_id)
+            return response
+        except Exception as caught:
+            if not isinstance(caught, RequestError):
+                log.exception("A request failed inside the node.")
+            error = to_request_error(caught)
+            self._note_refusal(request_id, error)
+            return make_error_response(error, request_id)
+        finally:
+            if not keeps_active:
+                node.active.pop(request_id, None)
+
+    def _note_refusal(self, request_id, error):
+        """Count, log and keep a request that ended without its answer."""
+        self.node.counters.add_refusal(error)
+        self.node.note(
+            request_id, "The request ended without its answer.",
+            outcome=str(error.outcome), reason=str(error.reason),
+        )  # fmt: skip
+        log.info(
+            "A request ended without its answer.",
+            extra={"request_id": request_id, "outcome": str(error.outcome),
+                   "reason": str(error.reason), "cause": error.message},
+        )  # fmt: skip
+
+    async def issue(self, request):
+        """Issue an idempotency key."""
+        return await self._guard(request, self._issue)
+
+    async def _issue(self, request, request_id):
+        admitted = admit(self.node, request, request_id)
+        key = issue_key(self.node, admitted.customer, now_s=read_clock())
+        body = {"key": key.text, "mode": key.mode.name.lower()}
+        return JSONResponse(body, headers={REQUEST_ID: request_id}), False
+
+    async def call(self, request):
+        """Call a plain service."""
+        return await self._guard(request, self._call)
+
+    async def _call(self, request, request_id):
+        node = self.node
+        admitted = admit(node, request, request_id)
+        params = request.path_params
+        name = f"{params['service']}/{params['operation']}"
+        operation = node.fleet.operations.get(name)
+        if operation is None:
+            raise NotRun(
+                Reason.UNKNOWN_SERVICE, f"got {name!r}, expected a known operation",
+                status=404,
+            )  # fmt: skip
+        body = await read_body(request, node.settings.max_body_bytes)
+        try:
+            msgspec.json.decode(body)
+        except msgspec.MsgspecError as error:
+            raise NotRun(Reason.BAD_BODY, str(error), status=400) from None
+        if operation.idempotent:
+            answer = await serve_lookup(node, admitted, operation, body)
+        else:
+            key = read_key(
+                request.headers.get("idempotency-key", ""), admitted.customer
+            )
+            answer = await serve_booking(node, admitted, operation, body, key)
+        node.counters.add("answers")
+        headers = {REQUEST_ID: request_id}
+        return JSONResponse(answer.body, answer.status, headers), False
+
+    async def complete(self, request):
+        """Answer a prompt."""
+        return await self._guard(request, self._complete)
+
+    async def _complete(self, request, request_id):
+        node = self.node
+        admitted = admit(node, request, request_id)
+        body = await read_body(request, node.settings.max_body_bytes)
+        parsed = parse_prompt(body, node.fleet)
+        prompt = Prompt(parsed.model, parsed.prompt, parsed.max_tokens)
+        node.note(
+            request_id, "The request was let in.",
+            customer=admitted.customer.name, request_class=admitted.request_class.name,
+            tokens=count_tokens(prompt.text),
+        )  # fmt: skip
+        answer = start_answer(node, admitted, prompt)
+        if not parsed.stream:
+            return await self._collect(answer, parsed, request_id), False
+        first = await answer.receive_first()
+        events = self._stream(answer, first, parsed, request_id)
+        headers = {REQUEST_ID: request_id, "cache-control": "no-store"}
+        response = StreamingResponse(
+            events, media_type="text/event-stream", headers=headers
+        )
+        return response, True
+
+    async def _collect(self, answer, parsed, request_id):
+        """Wait for the whole answer and return it in one piece."""
+        try:
+            texts = [token.text async for token in answer]
+        finally:
+            answer.cancel()
+        self.node.counters.add("answers")
+        body = {
+            "id": request_id,
+            "model": parsed.model,
+            "choices": [{"text": "".join(texts), "finish_reason": "length"}],
+            "usage": {
+                "prompt_tokens": count_tokens(parsed.prompt),
+                "completion_tokens": len(texts),
+            },
+        }
+        return JSONResponse(body, headers={REQUEST_ID: request_id})
+
+    async def _stream(self, answer, first, parsed, request_id) -> AsyncIterator[bytes]:
+        """Yield the answer's events; an error is the last event, without [DONE]."""
+        try:
+            if first is not None:
+                yield encode_token(request_id, parsed.model, first)
+            async for token in answer:
+                yield encode_token(request_id, parsed.model, token)
+            self.node.counters.add("answers")
+            yield DONE
+        except RequestError as error:
+            self._note_refusal(request_id, error)
+            event = msgspec.json.encode({"error": describe_error(error)})
+            yield b"event: error\ndata: " + event + b"\n\n"
+        finally:
+            answer.cancel()
+            self.node.active.pop(request_id, None)
+
+
+def encode_token(request_id, model, token):
+    """Return one token as a server-sent event."""
+    event = {
+        "id": request_id,
+        "model": model,
+        "choices": [{"index": 0, "text": token.text, "seq": token.seq}],
+    }
+    return b"data: " + msgspec.json.encode(event) + b"\n\n"
+
+
+class Answer:
+    """A prompt's answer on its way from the run to the caller.
+
+    The run is a task of the node's own, so that the caller's going away cancels it
+    and nothing else.
+    """
+
+    def __init__(self):
+        self._send, self._receive = anyio.create_memory_object_stream[Token](
+            TOKENS_BUFFERED
+        )
+        self._scope = anyio.CancelScope()
+        self._error: RequestError | None = None
+
+    async def run(self, node, admitted, prompt):
+        """Serve the prompt; errors are raised at the reader."""
+        with self._scope:
+            try:
+                await serve_prompt(node, admitted, prompt, self._send.send)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                return
+            except Exception as error:
+                if not isinstance(error, RequestError):
+                    log.exception("A prompt failed inside the node.")
+                self._error = to_request_error(error)
+            finally:
+                self._send.close()
+
+    async def receive_first(self):
+        """Return the first token, or None for an empty answer."""
+        try:
+            return await anext(self)
+        except StopAsyncIteration:
+            return None
+        except BaseException:
+            self.cancel()
+            raise
+
+    def __aiter__(self):
+        """Return this answer."""
+        return self
+
+    async def __anext__(self):
+        """Return the next token."""
+        try:
+            return await self._receive.receive()
+        except anyio.EndOfStream:
+            if self._error is not None:
+                raise self._error from None
+            raise StopAsyncIteration from None
+
+    def cancel(self):
+        """Stop the run, if it still goes on."""
+        self._scope.cancel()
+        self._receive.close()
+
+
+def start_answer(node, admitted, prompt):
+    """Begin to serve a prompt."""
+    answer = Answer()
+    node.tasks.start_soon(answer.run, node, admitted, prompt)
+    return answer
--- /dev/null
+++ b/lycheetide/node/_prompts.py
@@ -0,0 +1,417 @@
+"""Serve one prompt: get a permit, send it, pass on the checked answer."""
+
+from contextlib import aclosing
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+
+from lycheetide.charts import load_chart
+from lycheetide.metrics import get_log
+from lycheetide.node._permits import Wish, get_permit, give_back
+from lycheetide.node._state import draw_id, read_clock
+from lycheetide.outcomes import (
+    Failed,
+    NotRun,
+    Reason,
+    RequestError,
+    RetryReason,
+)
+from lycheetide.routing import (
+    RetryDecision,
+    check_dispatch,
+    count_tokens,
+    decide_retry,
+    make_prefix_key,
+    split_prompt,
+)
+from lycheetide.streams import ChunkVerdict, StreamCheck, check_chunk
+from lycheetide.upstreams import (
+    EngineCall,
+    UpstreamBroke,
+    UpstreamError,
+    UpstreamRefused,
+    UpstreamSilent,
+    UpstreamUnreached,
+    release_holding,
+    reserve_memory,
+    send_segment,
+    stream_answer,
+)
+
+CHART = load_chart("request")
+RETRY_AFTER_S = 1.0
+STALE_PAUSE_S = 0.05
+PREFILL_SLACK = 4.0
+"""How many times its expected reading time a prompt may take to its first token."""
+
+log = get_log("prompt")
+
+
+@dataclass(frozen=True)
+class Prompt:
+    """What a caller asks of a model."""
+
+    model: str
+    text: str
+    max_tokens: int
+
+
+@dataclass
+class PromptRun:
+    """How far one prompt has come.
+
+    Parameters
+    ----------
+    admitted : Admitted
+        The request.
+    prompt : Prompt
+        What is asked.
+    life : str
+        Its state in the request chart.
+    ever_started : bool
+        Whether some upstream may have begun it.
+    check : StreamCheck
+        How far the answer has come.
+    attempts : int
+        The attempts sent.
+    avoid : list of str
+        Replicas on which an attempt broke.
+    """
+
+    admitted: Any
+    prompt: Prompt
+    life: str = CHART.initial
+    ever_started: bool = False
+    check: StreamCheck = field(default_factory=lambda: StreamCheck(""))
+    attempts: int = 0
+    avoid: list[str] = field(default_factory=list)
+
+    def step(self, event):
+        """Step the request's life."""
+        self.life = CHART.step(self.life, event)
+
+
+@dataclass(frozen=True)
+class Token:
+    """One token of the answer."""
+
+    seq: int
+    text: str
+
+
+async def serve_prompt(node, admitted, prompt, emit):
+    """Serve one prompt until its answer is whole or its time is up.
+
+    Parameters
+    ----------
+    node : NodeState
+        This node.
+    admitted : Admitted
+        The request.
+    prompt : Prompt
+        What is asked.
+    emit : callable
+        A coroutine function that takes each ``Token``.
+
+    Raises
+    ------
+    RequestError
+        By what is known of the work.
+    """
+    run = PromptRun(admitted, prompt)
+    run.step("admitted")
+    try:
+        with anyio.CancelScope(deadline=admitted.deadline_s) as scope:
+            await _attempt_until_done(node, run, emit)
+        if scope.cancelled_caught:
+            raise NotRun(
+                Reason.DEADLINE, "the deadline has passed", retry_after_s=RETRY_AFTER_S
+            )
+    except NotRun as error:
+        run.step("gave_up")
+        if not run.ever_started:
+            raise
+        raise Failed(
+            error.reason, error.message, retry_after_s=error.retry_after_s
+        ) from error
+    run.step("answered")
+
+
+async def _attempt_until_done(node, run, emit):
+    """Make attempts until one delivers the rest of the answer."""
+    while True:
+        wish = _make_wish(run)
+        held, asked_s = await get_permit(node, wish)
+        run.step("granted")
+        replicas = held.permit.replicas
+        broken = ()
+        try:
+            usable = check_dispatch(
+                node.fleet,
+                replicas,
+                fresh=node.is_fresh(now_s=read_clock()),
+                permit_asked_s=asked_s,
+                now_s=read_clock(),
+                permit_use_s=node.settings.permit_use_s,
+            )
+            if not usable:
+                run.step("permit_stale")
+                node.counters.add_retry(RetryReason.PERMIT_STALE)
+                give_back(node, held)
+                await anyio.sleep(STALE_PAUSE_S)
+                continue
+            await _send(node, run, held, emit)
+            return
+        except UpstreamError as error:
+            if not isinstance(error, UpstreamRefused):
+                broken = replicas
+            _prepare_retry(node, run, replicas, error)
+        finally:
+            give_back(node, held, broken=broken)
+
+
+def _make_wish(run):
+    """Return what the next attempt needs a permit for."""
+    prompt = run.prompt
+    admitted = run.admitted
+    return Wish(
+        admitted=admitted,
+        serves=prompt.model,
+        prompt_tokens=count_tokens(prompt.text),
+        answer_tokens=prompt.max_tokens,
+        prefix_key=make_prefix_key(admitted.customer.name, prompt.model, prompt.text),
+        avoid=tuple(run.avoid),
+    )
+
+
+def _prepare_retry(node, run, replicas, error):
+    """Decide on another attempt after ``error``; raise if there is none."""
+    run.ever_started = run.ever_started or error.started_maybe
+    run.attempts += 1
+    now_s = read_clock()
+    decision = decide_retry(
+        attempts=run.attempts,
+        started_maybe=error.started_maybe,
+        repeatable=True,
+        left_s=run.admitted.deadline_s - now_s,
+        spend=lambda: node.budgets.spend_retry(run.admitted.customer, now_s=now_s),
+    )
+    reason = _find_retry_reason(error)
+    node.note(
+        run.admitted.request_id, "An attempt broke.",
+        reason=reason, cause=str(error), decision=decision, replicas=list(replicas),
+    )  # fmt: skip
+    if decision is RetryDecision.GIVE_UP:
+        error_type = Failed if run.ever_started else NotRun
+        raise error_type(
+            _find_reason(error), str(error), retry_after_s=RETRY_AFTER_S, status=502
+        ) from error
+    node.counters.add_retry(reason)
+    if not isinstance(error, UpstreamRefused):
+        run.avoid.extend(replicas)
+    if CHART.has(run.life, "unsent"):
+        run.step("permit_stale")
+    else:
+        run.step("broke")
+
+
+def _find_retry_reason(error):
+    """Return the counter of a retry after ``error``."""
+    if isinstance(error, UpstreamRefused):
+        return RetryReason.UPSTREAM_REFUSED
+    if isinstance(error, UpstreamSilent):
+        return RetryReason.UPSTREAM_SILENT
+    return RetryReason.UPSTREAM_BROKE
+
+
+def _find_reason(error):
+    """Return the reason that a caller is told after ``error``."""
+    if isinstance(error, (UpstreamRefused, UpstreamUnreached)):
+        return Reason.UPSTREAM_REFUSED
+    if isinstance(error, UpstreamSilent):
+        return Reason.UPSTREAM_SILENT
+    return Reason.UPSTREAM_BROKE
+
+
+async def _send(node, run, held, emit):
+    """Send one attempt and pass its checked answer on."""
+    permit = held.permit
+    upstreams = [node.fleet.upstreams[name] for name in permit.replicas]
+    attempt_id = draw_id()
+    run.check = StreamCheck(attempt_id, run.check.next_seq)
+    holdings = []
+    try:
+        call = await _prepare_call(node, run, permit, upstreams, holdings)
+        await _read_answer(node, run, upstreams[-1], call, holdings, emit)
+        holdings[:] = [h for h in holdings if h[0] is not upstreams[-1]]
+    finally:
+        for upstream, holding_id in holdings:
+            node.tasks.start_soon(_release, node, upstream, holding_id)
+
+
+async def _release(node, upstream, holding_id):
+    """Free memory; if the call is lost, the owner finds what is left over."""
+    try:
+        await release_holding(node.http, upstream, holding_id)
+    except UpstreamError:
+        node.counters.add("releases.lost")
+
+
+async def _prepare_call(node, run, permit, upstreams, holdings):
+    """Return the call to the head; a spanning prompt's segments are read first."""
+    admitted = run.admitted
+    segments = ()
+    text = run.prompt.text
+    holding_id = None
+    if len(upstreams) > 1:
+        parts = split_prompt(text, len(upstreams))
+        text = parts[-1]
+        await _reserve_all(node, run, permit, upstreams, holdings)
+        holding_id = holdings[-1][1]
+        segments = await _read_segments(node, run, upstreams, holdings, parts)
+    return EngineCall(
+        request_id=admitted.request_id,
+        attempt_id=run.check.attempt_id,
+        prompt=text,
+        max_tokens=run.prompt.max_tokens,
+        priority=admitted.request_class.priority,
+        prefix_key=make_prefix_key(
+            admitted.customer.name, run.prompt.model, run.prompt.text
+        ),
+        resume_from=run.check.next_seq,
+        expected_boot_id=permit.boot_ids[-1],
+        holding_id=holding_id,
+        segments=segments,
+    )
+
+
+async def _reserve_all(node, run, permit, upstreams, holdings):
+    """Reserve memory at each engine, in the order of their names, or at none.
+
+    ``holdings`` gets each reservation as soon as it is there, so that whatever
+    happens next, the caller of this function releases it.
+    """
+    for upstream, tokens in zip(upstreams, permit.tokens, strict=True):
+        holding_id = await reserve_memory(
+            node.http,
+            upstream,
+            request_id=run.admitted.request_id,
+            tokens=tokens,
+        )
+        holdings.append((upstream, holding_id))
+
+
+async def _read_segments(node, run, upstreams, holdings, parts):
+    """Have all engines but the head read their segments, all at once."""
+    handles = [""] * (len(upstreams) - 1)
+    errors = []
+
+    async def read(index):
+        upstream = upstreams[index]
+        try:
+            handles[index] = await send_segment(
+                node.http,
+                upstream,
+                holding_id=holdings[index][1],
+                prompt=parts[index],
+                priority=run.admitted.request_class.priority,
+                timeout_s=_allow_s(node, upstream, parts[index]),
+            )
+        except UpstreamError as error:
+            errors.append(error)
+
+    if CHART.has(run.life, "unsent"):
+        run.step("dispatched")
+    run.ever_started = True
+    async with anyio.create_task_group() as group:
+        for index in range(len(handles)):
+            group.start_soon(read, index)
+    if errors:
+        raise errors[0]
+    return tuple(handles)
+
+
+def _allow_s(node, upstream, text):
+    """Return how long reading a text may take before the engine counts as silent."""
+    read_s = count_tokens(text) / upstream.prefill_tokens_per_s
+    return node.settings.silence_s + PREFILL_SLACK * read_s
+
+
+async def _read_answer(node, run, upstream, call, holdings, emit):
+    """Read the head's answer, check each chunk and emit its token."""
+    admitted = run.admitted
+
+    def on_accepted(holding_id):
+        if holding_id and all(held != holding_id for _, held in holdings):
+            holdings.append((upstream, holding_id))
+
+    if CHART.has(run.life, "unsent"):
+        run.step("dispatched")
+    node.note(
+        admitted.request_id, "An attempt was sent.",
+        upstream=upstream.name, attempt_id=call.attempt_id, from_token=call.resume_from,
+    )  # fmt: skip
+    whole = False
+    chunks = stream_answer(
+        node.http,
+        upstream,
+        call,
+        first_s=_allow_s(node, upstream, call.prompt),
+        between_s=node.settings.silence_s,
+        on_accepted=on_accepted,
+    )
+    checked = check_chunks(node, run, chunks)
+    try:
+        async with aclosing(chunks), aclosing(checked):
+            async for chunk in checked:
+                if chunk is None:
+                    whole = True
+                    break
+                if run.life == "sent":
+                    run.step("first_token")
+                await emit(Token(chunk.seq, chunk.text))
+    except UpstreamUnreached:
+        raise
+    except UpstreamError as error:
+        run.ever_started = run.ever_started or error.started_maybe
+        raise
+    except BaseException:
+        run.ever_started = True
+        raise
+    if not whole:
+        raise UpstreamBroke("the answer ended without its end mark")
+
+
+async def check_chunks(node, run, chunks):
+    """Yield the chunks that are the next of this attempt, then None at a whole end.
+
+    Parameters
+    ----------
+    node : NodeState
+        Its counters.
+    run : PromptRun
+        Its ``check`` moves on.
+    chunks : async iterator of Chunk
+        As they come.
+    """
+    async for chunk in chunks:
+        run.check, verdict = check_chunk(run.check, chunk)
+        if verdict is ChunkVerdict.DELIVER:
+            yield chunk
+        elif verdict is ChunkVerdict.END:
+            yield None
+            return
+        elif verdict in (ChunkVerdict.GAP, ChunkVerdict.SHORT):
+            node.counters.add(f"chunks.{verdict}")
+            raise UpstreamBroke(f"{verdict}: got token {chunk.seq}, "
+                                f"expected {run.check.next_seq}")  # fmt: skip
+        else:
+            node.counters.add(f"chunks.{verdict}")
+
+
+def to_request_error(error):
+    """Return the typed error for whatever a run raised."""
+    if isinstance(error, RequestError):
+        return error
+    return Failed(Reason.INTERNAL, "an error inside the node", status=500)
--- /dev/null
+++ b/lycheetide/node/_state.py
@@ -0,0 +1,125 @@
+"""What the parts of one node share."""
+
+import secrets
+import time
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+from lycheetide.charts import load_chart
+from lycheetide.fleet import ConfigState
+from lycheetide.limits import CustomerBudgets
+from lycheetide.membership import Member, Membership
+from lycheetide.metrics import Counters, Explanations, make_statsd
+from lycheetide.peers import PeerClient
+from lycheetide.platformlog import GroupWriter, LogClient
+from lycheetide.routing import is_fresh
+from lycheetide.upstreams import make_http_client
+
+CONFIG_STREAM = "config"
+VIEW_STREAM = "views-{region}"
+BOOKING_STREAM = "bookings"
+VERDICTS_KEPT = 1_000
+LONG_AGO_S = -1e9
+
+CHART = load_chart("node")
+
+
+def read_clock():
+    """Return the present time in seconds; only plumbing calls this."""
+    return time.monotonic()
+
+
+def draw_id():
+    """Return an id that is never used twice."""
+    return secrets.token_hex(8)
+
+
+@dataclass(frozen=True)
+class HeldPermit:
+    """A permit that this node uses, and where it came from."""
+
+    permit: Any
+    cell: str
+
+
+class NodeState:
+    """The state of one node.
+
+    Parameters
+    ----------
+    settings : Settings
+        What it was told at its start.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.own = Member(
+            settings.name, draw_id(), settings.peer_address, settings.failure_domain
+        )
+        self.life = CHART.initial
+        self.config = ConfigState()
+        self.config_since_s = 0.0
+        self.config_changed = anyio.Event()
+        self.verdicts = OrderedDict()
+        self.membership = Membership(
+            self.own, lease_s=settings.lease_s, suspect_s=settings.suspect_s
+        )
+        self.hosts = None
+        self.log_asked_s = LONG_AGO_S
+        self.http = make_http_client(connect_s=settings.connect_s)
+        self.peers = PeerClient()
+        self.log = LogClient(self.http, settings.log_url)
+        self.booking_writer = GroupWriter(self.log, BOOKING_STREAM)
+        self.cells = {}
+        self.relinquished = {}
+        self.permits = {}
+        self.bookings = {}
+        self.issued_home_keys = 0
+        self.counters = Counters(
+            make_statsd(settings.statsd_address, settings.statsd_prefix)
+        )
+        self.explanations = Explanations()
+        self.budgets = CustomerBudgets()
+        self.active = {}
+        self.tasks = None
+
+    @property
+    def own_id(self):
+        """This node's member id."""
+        return self.own.member_id
+
+    @property
+    def fleet(self):
+        """The configuration in force."""
+        return self.config.fleet
+
+    @property
+    def view_stream(self):
+        """The log's stream of this region's views."""
+        return VIEW_STREAM.format(region=self.settings.region)
+
+    def step(self, event):
+        """Step the node's life; return whether its state changed."""
+        before = self.life
+        self.life = CHART.step(before, event)
+        return self.life != before
+
+    def is_life(self, flag):
+        """Tell whether the node's state carries a flag of the chart."""
+        return CHART.has(self.life, flag)
+
+    def is_fresh(self, *, now_s):
+        """Tell whether this node can know the configuration in force."""
+        return is_fresh(
+            log_asked_s=self.log_asked_s,
+            majority_heard=self.membership.is_majority_heard(now_s=now_s),
+            now_s=now_s,
+            within_s=self.settings.lease_s,
+        )
+
+    def note(self, request_id, what, **fields):
+        """Keep a step of a request for ``lycheetide explain``."""
+        self.explanations.note(request_id, what, now_s=read_clock(), **fields)
--- /dev/null
+++ b/lycheetide/outcomes/__init__.py
@@ -0,0 +1,20 @@
+"""What can become of a request, as typed errors with a reason."""
+
+from lycheetide.outcomes._errors import (
+    Failed,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    RequestError,
+)
+from lycheetide.outcomes._reasons import Reason, RetryReason
+
+__all__ = [
+    "Failed",
+    "NotRun",
+    "Outcome",
+    "OutcomeUnknown",
+    "Reason",
+    "RequestError",
+    "RetryReason",
+]
--- /dev/null
+++ b/lycheetide/outcomes/_reasons.py
@@ -0,0 +1,55 @@
+"""The reasons of refusals and retries; each has a counter of its own."""
+
+from enum import StrEnum
+
+
+class Reason(StrEnum):
+    """Why a request did not get its answer.
+
+    Notes
+    -----
+    ``docs/operations.md`` lists what an operator does about each.
+    """
+
+    BAD_BODY = "bad_body"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_CLASS = "unknown_class"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    BAD_DEADLINE = "bad_deadline"
+    DEADLINE_PAST = "deadline_past"
+    KEY_MISSING = "key_missing"
+    KEY_MALFORMED = "key_malformed"
+    KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
+    KEY_AHEAD = "key_ahead"
+    KEY_IN_PROGRESS = "key_in_progress"
+    KEY_HOME_LOST = "key_home_lost"
+    PROMPT_TOO_LONG = "prompt_too_long"
+    NOT_READY = "not_ready"
+    NOT_FRESH = "not_fresh"
+    STOPPING = "stopping"
+    NO_CAPACITY = "no_capacity"
+    OVERLOADED = "overloaded"
+    CUSTOMER_LIMIT = "customer_limit"
+    OWNER_UNREACHABLE = "owner_unreachable"
+    LOG_UNAVAILABLE = "log_unavailable"
+    UPSTREAM_REFUSED = "upstream_refused"
+    UPSTREAM_BROKE = "upstream_broke"
+    UPSTREAM_SILENT = "upstream_silent"
+    SHORT_ANSWER = "short_answer"
+    DEADLINE = "deadline"
+    INTERNAL = "internal"
+
+
+class RetryReason(StrEnum):
+    """Why an attempt was followed by another."""
+
+    UPSTREAM_REFUSED = "upstream_refused"
+    UPSTREAM_BROKE = "upstream_broke"
+    UPSTREAM_SILENT = "upstream_silent"
+    SHORT_ANSWER = "short_answer"
+    PERMIT_STALE = "permit_stale"
+    OWNER_CHANGED = "owner_changed"
+    MEMORY_FULL = "memory_full"
--- /dev/null
+++ b/lycheetide/peers/__init__.py
@@ -0,0 +1,52 @@
+"""Messages between nodes, and the gRPC client and server that carry them."""
+
+from lycheetide.peers._client import PeerClient, PeerUnreached
+from lycheetide.peers._messages import (
+    AcquireReply,
+    AcquireRequest,
+    AcquireStatus,
+    AdoptReply,
+    AdoptRequest,
+    BookingQuery,
+    BookingReply,
+    BookingStatus,
+    ConfigReply,
+    ConfigRequest,
+    FinishReply,
+    FinishRequest,
+    HandOverReply,
+    HandOverRequest,
+    HandOverStatus,
+    PullReply,
+    PullRequest,
+    RenewReply,
+    RenewRequest,
+    RunBookingRequest,
+)
+from lycheetide.peers._server import make_server
+
+__all__ = [
+    "AcquireReply",
+    "AcquireRequest",
+    "AcquireStatus",
+    "AdoptReply",
+    "AdoptRequest",
+    "BookingQuery",
+    "BookingReply",
+    "BookingStatus",
+    "ConfigReply",
+    "ConfigRequest",
+    "FinishReply",
+    "FinishRequest",
+    "HandOverReply",
+    "HandOverRequest",
+    "HandOverStatus",
+    "PeerClient",
+    "PeerUnreached",
+    "PullReply",
+    "PullRequest",
+    "RenewReply",
+    "RenewRequest",
+    "RunBookingRequest",
+    "make_server",
+]
--- /dev/null
+++ b/lycheetide/scheduling/_cell.py
@@ -0,0 +1,410 @@
+"""The state of one cell at its owner; every decision takes the time as an argument."""
+
+import itertools
+from collections import Counter, defaultdict
+from dataclasses import replace
+
+from lycheetide.charts import load_chart
+from lycheetide.membership import CellSummary
+from lycheetide.outcomes import NotRun, Reason
+from lycheetide.scheduling._choose import (
+    choose_draining,
+    choose_replicas,
+    count_segments,
+)
+from lycheetide.scheduling._estimate import estimate_wait
+from lycheetide.scheduling._limits import count_open_slots, needs_proof
+from lycheetide.scheduling._order import order_tickets
+from lycheetide.scheduling._types import Permit, Policy, Replica, ReplicaLoad, Report
+
+CHART = load_chart("upstream")
+
+LARGEST_PREFIX_COUNT = 20_000
+"""How many prefixes a cell remembers; the oldest are forgotten first."""
+
+
+class Cell:
+    """Replicas that one node owns together, and the requests that wait for them.
+
+    Parameters
+    ----------
+    name : str
+        The cell.
+    owner_id : str
+        The owner's member id; it makes permit ids unique.
+    policy : Policy
+        The numbers that the choices rest on.
+    """
+
+    def __init__(self, name, *, owner_id, policy=None):
+        self.name = name
+        self.owner_id = owner_id
+        self.policy = policy or Policy()
+        self.replicas = {}
+        self.tickets = {}
+        self.permits = {}
+        self.lost_permits = {}
+        self.prefixes = {}
+        self.is_settled = False
+        self._numbers = itertools.count(1)
+
+    def apply_upstreams(self, upstreams, domains, *, now_s):
+        """Take the configuration's entries for this cell.
+
+        A replica that opens again, as its failure domain returns, begins at the cold
+        limit, whatever it was before: its caches are empty and its load report old.
+        """
+        names = set()
+        for upstream in upstreams:
+            names.add(upstream.name)
+            domain = domains.get(upstream.failure_domain)
+            is_open = (
+                upstream.state == "in" and domain is not None and domain.state != "out"
+            )
+            known = self.replicas.get(upstream.name)
+            if known is None or known.upstream.url != upstream.url:
+                self.replicas[upstream.name] = _make_replica(upstream, is_open, now_s)
+                continue
+            ramp = known.ramp_limit
+            if is_open and not known.is_open:
+                ramp = upstream.cold_limit_requests
+            self.replicas[upstream.name] = replace(
+                known, upstream=upstream, is_open=is_open, ramp_limit=ramp
+            )
+        for name in set(self.replicas) - names:
+            del self.replicas[name]
+
+    def take_report(self, name, report, *, asked_s, now_s):
+        """Take a load report that was asked for at ``asked_s``."""
+        known = self.replicas.get(name)
+        if known is None or asked_s < known.proved_s:
+            return
+        report = replace(report, at_s=asked_s)
+        event = "reported_warm" if report.warm else "reported_cold"
+        ramp = known.ramp_limit
+        if known.boot_id and known.boot_id != report.boot_id:
+            ramp = known.upstream.cold_limit_requests
+            if report.warm:
+                event = "reported_warm"
+        elif not report.warm:
+            ramp = known.upstream.cold_limit_requests
+        else:
+            ramp = min(known.upstream.warm_limit_requests, ramp * 2)
+        waiting_s = report.waiting_prefill_tokens / known.upstream.prefill_tokens_per_s
+        self.replicas[name] = replace(
+            known,
+            phase=CHART.step(known.phase, event),
+            boot_id=report.boot_id,
+            proved_s=asked_s,
+            ramp_limit=ramp,
+            report=report,
+            busy_until_s=max(known.busy_until_s, asked_s + waiting_s)
+            if waiting_s > 0
+            else min(known.busy_until_s, now_s),
+        )
+
+    def take_silence(self, name):
+        """Note that a replica did not answer, or broke a connection."""
+        known = self.replicas.get(name)
+        if known is None:
+            return
+        phase = CHART.step(known.phase, "went_silent")
+        ramp = known.upstream.cold_limit_requests
+        self.replicas[name] = replace(known, phase=phase, ramp_limit=ramp)
+
+    def ask(self, ticket, *, now_s):
+        """Take a request in, or refuse it at once.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request; asking again with the same id keeps the place.
+        now_s : float
+            The present time.
+
+        Raises
+        ------
+        NotRun
+            If the request can't be served in time, or would never fit.
+        """
+        known = self.tickets.get(ticket.ticket_id)
+        if known is not None:
+            self.tickets[ticket.ticket_id] = replace(known, asked_s=now_s)
+            return
+        loads = [load for load in self.make_loads(now_s=now_s) if load.slots >= 0]
+        self._check_fits(ticket, loads)
+        wait_s = estimate_wait(ticket, self.tickets.values(), loads)
+        left_s = ticket.deadline_s - now_s
+        if wait_s > left_s:
+            later_s = min(30.0, max(0.5, wait_s - left_s))
+            raise NotRun(
+                Reason.OVERLOADED,
+                f"reading the prompt takes {wait_s:.1f} s, {left_s:.1f} s are left",
+                retry_after_s=later_s,
+            )
+        self.tickets[ticket.ticket_id] = ticket
+
+    def _check_fits(self, ticket, loads):
+        """Refuse what no set of the cell's replicas could hold."""
+        if not loads:
+            raise NotRun(Reason.NO_CAPACITY, "no replica is open", retry_after_s=2.0)
+        segments = count_segments(ticket, loads, self.policy)
+        if segments > len(loads):
+            raise NotRun(
+                Reason.PROMPT_TOO_LONG,
+                f"{ticket.total_tokens} tokens need {segments} replicas, "
+                f"{len(loads)} are open",
+                retry_after_s=10.0,
+            )
+
+    def withdraw(self, ticket_id):
+        """Forget a waiting request."""
+        self.tickets.pop(ticket_id, None)
+
+    def make_loads(self, *, now_s, draining=frozenset()):
+        """Return the loads of the open replicas."""
+        by_replica = self._sort_permits()
+        names = sorted(name for name, r in self.replicas.items() if _is_usable(r))
+        huge_count = max(1, round(len(names) * self.policy.huge_share))
+        huge_names = set(names[-huge_count:]) if names else set()
+        return [
+            self._make_load(
+                self.replicas[name],
+                by_replica[name],
+                takes_huge=name in huge_names,
+                is_draining=name in draining,
+                now_s=now_s,
+            )
+            for name in names
+        ]
+
+    def _sort_permits(self):
+        """Group the permits, also lost ones, by replica."""
+        by_replica = defaultdict(list)
+        for permit in itertools.chain(
+            self.permits.values(), self.lost_permits.values()
+        ):
+            for name in permit.replicas:
+                by_replica[name].append(permit)
+        return by_replica
+
+    def _make_load(self, replica, permits, *, takes_huge, is_draining, now_s):
+        """Return one replica's load."""
+        name = replica.upstream.name
+        granted = sum(p.tokens[p.replicas.index(name)] for p in permits)
+        since = sum(
+            p.tokens[p.replicas.index(name)]
+            for p in permits
+            if p.granted_s > replica.report.at_s
+        )
+        used = max(granted, replica.report.kv_used_tokens + since)
+        capacity = replica.report.kv_capacity_tokens or (
+            replica.upstream.kv_capacity_tokens
+        )
+        return ReplicaLoad(
+            name=name,
+            slots=count_open_slots(replica, permits, is_settled=self.is_settled),
+            kv_free_tokens=capacity - used,
+            kv_capacity_tokens=capacity,
+            short_s=max(0.0, replica.busy_until_s - now_s),
+            huge_s=max(0.0, replica.huge_until_s - now_s),
+            tokens_per_s=replica.upstream.prefill_tokens_per_s,
+            takes_huge=takes_huge,
+            is_draining=is_draining,
+            running=len(permits),
+        )
+
+    def schedule(self, *, now_s):
+        """Grant what can be granted now.
+
+        Parameters
+        ----------
+        now_s : float
+            The present time.
+
+        Returns
+        -------
+        list of Permit
+            New permits, already counted against their replicas.
+        """
+        running = Counter()
+        for permit in self.permits.values():
+            running[permit.ticket.customer] += permit.ticket.total_tokens
+        draining = self._find_draining(now_s)
+        loads = self.make_loads(now_s=now_s, draining=draining)
+        granted = []
+        for ticket in order_tickets(self.tickets.values(), running, now_s=now_s):
+            cached = self.prefixes.get(ticket.prefix_key, {}) if loads else {}
+            usable = loads if not draining else self._lift_drain(ticket, loads, now_s)
+            chosen = choose_replicas(ticket, usable, self.policy, cached_tokens=cached)
+            if not chosen:
+                continue
+            permit = self._grant(ticket, chosen, cached, now_s)
+            running[ticket.customer] += ticket.total_tokens
+            granted.append(permit)
+            loads = self.make_loads(now_s=now_s, draining=draining)
+        return granted
+
+    def _find_draining(self, now_s):
+        """Return the replicas kept for the oldest spanning prompt that waits."""
+        waiting = [
+            ticket
+            for ticket in self.tickets.values()
+            if now_s - ticket.arrived_s > self.policy.drain_after_s
+        ]
+        loads = self.make_loads(now_s=now_s)
+        for ticket in sorted(waiting, key=lambda t: (t.arrived_s, t.ticket_id)):
+            names = choose_draining(ticket, loads, self.policy)
+            if names:
+                return names
+        return frozenset()
+
+    def _lift_drain(self, ticket, loads, now_s):
+        """Let spanning prompts use the replicas that are kept for them."""
+        if count_segments(ticket, loads, self.policy) <= 1:
+            return loads
+        return [replace(load, is_draining=False) for load in loads]
+
+    def _grant(self, ticket, chosen, cached, now_s):
+        """Make a permit and count it."""
+        del self.tickets[ticket.ticket_id]
+        parts = len(chosen)
+        share = -(-ticket.total_tokens // parts)
+        permit = Permit(
+            permit_id=f"{self.owner_id}/{self.name}/{next(self._numbers)}",
+            ticket=ticket,
+            replicas=tuple(load.name for load in chosen),
+            boot_ids=tuple(self.replicas[load.name].boot_id for load in chosen),
+            tokens=(share,) * parts,
+            granted_s=now_s,
+            renewed_s=now_s,
+        )
+        self.permits[permit.permit_id] = permit
+        is_huge = ticket.prompt_tokens >= self.policy.huge_tokens
+        for load in chosen:
+            fresh = ticket.prompt_tokens / parts - cached.get(load.name, 0)
+            self._count_reading(load.name, max(0.0, fresh), is_huge, now_s)
+        if ticket.prefix_key and parts == 1:
+            self._remember_prefix(ticket, chosen[0].name)
+        return permit
+
+    def _count_reading(self, name, tokens, is_huge, now_s):
+        """Add a prompt to the time that a replica will be reading."""
+        replica = self.replicas[name]
+        read_s = tokens / replica.upstream.prefill_tokens_per_s
+        if is_huge:
+            until_s = max(now_s, replica.huge_until_s) + read_s
+            self.replicas[name] = replace(replica, huge_until_s=until_s)
+        else:
+            until_s = max(now_s, replica.busy_until_s) + read_s
+            self.replicas[name] = replace(replica, busy_until_s=until_s)
+
+    def _remember_prefix(self, ticket, name):
+        """Note that a replica now holds the prompt's beginning."""
+        holders = self.prefixes.pop(ticket.prefix_key, {})
+        holders[name] = ticket.prompt_tokens
+        self.prefixes[ticket.prefix_key] = holders
+        while len(self.prefixes) > LARGEST_PREFIX_COUNT:
+            del self.prefixes[next(iter(self.prefixes))]
+
+    def renew(self, permit_ids, *, now_s):
+        """Keep permits alive and return those that the owner does not know."""
+        unknown = []
+        for permit_id in permit_ids:
+            permit = self.permits.get(permit_id)
+            if permit is None:
+                unknown.append(permit_id)
+                continue
+            self.permits[permit_id] = replace(permit, renewed_s=now_s)
+        return unknown
+
+    def adopt(self, permits, *, now_s):
+        """Take over permits that an earlier owner gave."""
+        for permit in permits:
+            if permit.permit_id not in self.permits:
+                self.permits[permit.permit_id] = replace(permit, renewed_s=now_s)
+
+    def finish(self, permit_id):
+        """End a permit."""
+        self.permits.pop(permit_id, None)
+        self.lost_permits.pop(permit_id, None)
+
+    def drop_lost(self, *, now_s, ticket_s, permit_s):
+        """Give up on requests whose entry node no longer speaks of them.
+
+        A permit lost so still counts against its replicas until the engine is seen
+        to hold nothing for it: the entry node may be frozen, and its stream alive.
+        """
+        for ticket in list(self.tickets.values()):
+            if now_s - ticket.asked_s > ticket_s or now_s > ticket.deadline_s:
+                del self.tickets[ticket.ticket_id]
+        for permit in list(self.permits.values()):
+            if now_s - permit.renewed_s > permit_s:
+                self.lost_permits[permit.permit_id] = self.permits.pop(permit.permit_id)
+
+    def end_lost(self, name, held_request_ids):
+        """Free what lost permits count at a replica that holds nothing for them."""
+        for permit_id, permit in list(self.lost_permits.items()):
+            if name not in permit.replicas:
+                continue
+            if permit.ticket.request_id in held_request_ids:
+                continue
+            kept = [
+                (replica, boot_id, tokens)
+                for replica, boot_id, tokens in zip(
+                    permit.replicas, permit.boot_ids, permit.tokens, strict=True
+                )
+                if replica != name
+            ]
+            if not kept:
+                del self.lost_permits[permit_id]
+                continue
+            replicas, boot_ids, tokens = zip(*kept, strict=True)
+            self.lost_permits[permit_id] = replace(
+                permit, replicas=replicas, boot_ids=boot_ids, tokens=tokens
+            )
+
+    def find_unproved(self):
+        """Return the replicas that a fresh report would open for waiting requests."""
+        if not self.tickets:
+            return []
+        by_replica = self._sort_permits()
+        return [
+            name
+            for name, replica in self.replicas.items()
+            if needs_proof(replica, by_replica[name])
+        ]
+
+    def summarize(self, *, now_s):
+        """Return what other nodes are told of this cell."""
+        loads = self.make_loads(now_s=now_s)
+        reading = sum(
+            (load.short_s + load.huge_s) * load.tokens_per_s for load in loads
+        )
+        return CellSummary(
+            cell=self.name,
+            waiting_tokens=sum(t.prompt_tokens for t in self.tickets.values()),
+            running_tokens=int(reading),
+            tokens_per_s=sum(load.tokens_per_s for load in loads),
+            free_requests=sum(load.slots for load in loads),
+        )
+
+
+def _is_usable(replica):
+    """Tell whether a replica takes any work at all."""
+    return replica.is_open and not CHART.has(replica.phase, "closed")
+
+
+def _make_replica(upstream, is_open, now_s):
+    """Return a replica of which nothing is known yet."""
+    return Replica(
+        upstream=upstream,
+        is_open=is_open,
+        phase=CHART.initial,
+        boot_id="",
+        proved_s=now_s - 1.0,
+        ramp_limit=upstream.cold_limit_requests,
+        report=Report(boot_id="", warm=False, at_s=now_s - 1.0),
+        busy_until_s=now_s,
+        huge_until_s=now_s,
+    )
--- /dev/null
+++ b/lycheetide/settings/_schema.py
@@ -0,0 +1,116 @@
+"""The declared place of every setting: its type, default and bounds."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from lycheetide.settings._checks import (
+    address,
+    at_least,
+    between,
+    identifier,
+    optional_address,
+    path_or_empty,
+    url,
+)
+
+
+@dataclass(frozen=True)
+class Settings:
+    """What one node is told when it starts; fields as in the INI file."""
+
+    name: str
+    region: str
+    failure_domain: str
+    caller_address: str
+    peer_address: str
+    operator_address: str
+    log_url: str
+    hosts_url: str
+    statsd_address: str = ""
+    statsd_prefix: str = "lycheetide"
+    log_level: str = "INFO"
+    tls_certificate_path: str = ""
+    tls_key_path: str = ""
+    heartbeat_interval_s: float = 0.4
+    heartbeat_fanout: int = 4
+    lease_s: float = 2.0
+    suspect_s: float = 2.0
+    log_wait_s: float = 0.5
+    permit_use_s: float = 2.0
+    permit_renewal_s: float = 1.0
+    permit_lost_s: float = 5.0
+    report_interval_s: float = 0.5
+    report_stale_s: float = 2.5
+    reclaim_interval_s: float = 1.0
+    reclaim_grace_s: float = 3.0
+    silence_s: float = 10.0
+    connect_s: float = 1.0
+    max_body_bytes: int = 16_000_000
+    key_record_bytes: int = 16_384
+    stop_notice_s: float = 1.0
+    stop_longest_s: float = 600.0
+    snapshot_records: int = 500
+
+
+@dataclass(frozen=True)
+class Field:
+    """How one setting is read.
+
+    Parameters
+    ----------
+    section, key : str
+        Where it stands in the file.
+    parse : callable
+        Takes the text; raises ``ValueError`` with what was expected.
+    required : bool, default=False
+        Whether the file must have it.
+    """
+
+    section: str
+    key: str
+    parse: Callable[[str], Any]
+    required: bool = False
+
+
+def _level(text):
+    """Read the name of a log level."""
+    if text not in {"DEBUG", "INFO", "WARNING", "ERROR"}:
+        raise ValueError("DEBUG, INFO, WARNING or ERROR")
+    return text
+
+
+FIELDS = (
+    Field("node", "name", identifier, required=True),
+    Field("node", "region", identifier, required=True),
+    Field("node", "failure_domain", identifier, required=True),
+    Field("listen", "caller_address", address, required=True),
+    Field("listen", "peer_address", address, required=True),
+    Field("listen", "operator_address", address, required=True),
+    Field("listen", "tls_certificate_path", path_or_empty),
+    Field("listen", "tls_key_path", path_or_empty),
+    Field("platform", "log_url", url, required=True),
+    Field("platform", "hosts_url", url, required=True),
+    Field("metrics", "statsd_address", optional_address),
+    Field("metrics", "statsd_prefix", identifier),
+    Field("logs", "log_level", _level),
+    Field("membership", "heartbeat_interval_s", between(0.05, 60.0)),
+    Field("membership", "heartbeat_fanout", at_least(1)),
+    Field("membership", "lease_s", between(0.2, 120.0)),
+    Field("membership", "suspect_s", between(0.2, 120.0)),
+    Field("membership", "log_wait_s", between(0.0, 10.0)),
+    Field("permits", "permit_use_s", between(0.1, 60.0)),
+    Field("permits", "permit_renewal_s", between(0.05, 60.0)),
+    Field("permits", "permit_lost_s", between(0.2, 120.0)),
+    Field("upstreams", "report_interval_s", between(0.05, 60.0)),
+    Field("upstreams", "report_stale_s", between(0.1, 120.0)),
+    Field("upstreams", "reclaim_interval_s", between(0.1, 60.0)),
+    Field("upstreams", "reclaim_grace_s", between(0.1, 120.0)),
+    Field("upstreams", "silence_s", between(0.1, 600.0)),
+    Field("upstreams", "connect_s", between(0.05, 60.0)),
+    Field("limits", "max_body_bytes", at_least(1024)),
+    Field("limits", "key_record_bytes", at_least(256)),
+    Field("limits", "snapshot_records", at_least(1)),
+    Field("stop", "stop_notice_s", between(0.0, 600.0)),
+    Field("stop", "stop_longest_s", between(0.1, 3600.0)),
+)
--- /dev/null
+++ b/lycheetide/streams/__init__.py
@@ -0,0 +1,11 @@
+"""Check that an answer is whole and belongs to its own attempt."""
+
+from lycheetide.streams._check import (
+    Chunk,
+    ChunkVerdict,
+    StreamCheck,
+    check_chunk,
+    parse_chunk,
+)
+
+__all__ = ["Chunk", "ChunkVerdict", "StreamCheck", "check_chunk", "parse_chunk"]
--- /dev/null
+++ b/lycheetide/upstreams/__init__.py
@@ -0,0 +1,41 @@
+"""Speak to model engines and plain services over HTTP."""
+
+from lycheetide.upstreams._client import make_http_client
+from lycheetide.upstreams._engine import (
+    EngineCall,
+    fetch_holdings,
+    fetch_report,
+    release_holding,
+    reserve_memory,
+    send_order,
+    send_segment,
+    stream_answer,
+)
+from lycheetide.upstreams._errors import (
+    UpstreamBroke,
+    UpstreamError,
+    UpstreamRefused,
+    UpstreamSilent,
+    UpstreamUnreached,
+)
+from lycheetide.upstreams._service import ServiceAnswer, ServiceCall, call_service
+
+__all__ = [
+    "EngineCall",
+    "ServiceAnswer",
+    "ServiceCall",
+    "UpstreamBroke",
+    "UpstreamError",
+    "UpstreamRefused",
+    "UpstreamSilent",
+    "UpstreamUnreached",
+    "call_service",
+    "fetch_holdings",
+    "fetch_report",
+    "make_http_client",
+    "release_holding",
+    "reserve_memory",
+    "send_order",
+    "send_segment",
+    "stream_answer",
+]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems; the product never imports them."""
--- /dev/null
+++ b/standins/callers.py
@@ -0,0 +1,167 @@
+"""Ask nodes as a caller does, and keep what came back."""
+
+import json
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpx
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What a caller got.
+
+    Parameters
+    ----------
+    status : int
+        The HTTP status; 0 where there was no answer at all.
+    body : object
+        The decoded body; for streams, the error event or None.
+    request_id : str
+        As the node drew it.
+    texts : tuple of str
+        The streamed tokens.
+    whole : bool
+        Whether a stream ended with its end mark.
+    first_s, total_s : float
+        When the first token and the end came.
+    """
+
+    status: int
+    body: Any
+    request_id: str = ""
+    texts: tuple[str, ...] = ()
+    whole: bool = False
+    first_s: float = 0.0
+    total_s: float = 0.0
+    headers: dict = field(default_factory=dict)
+
+    @property
+    def outcome(self):
+        """The typed outcome; "answered" where there is an answer."""
+        error = (self.body or {}).get("error") if isinstance(self.body, dict) else None
+        if error:
+            return error.get("outcome", "unknown")
+        return "answered" if 200 <= self.status < 300 else "unknown"
+
+    @property
+    def reason(self):
+        """Why there was no answer."""
+        return self.body["error"]["reason"] if self.outcome != "answered" else ""
+
+
+def make_headers(customer="kestrel", request_class="quote", deadline_s=None, key=None):
+    """Return a caller's headers."""
+    headers = {"authorization": f"Bearer {customer}-token", "x-class": request_class}
+    if deadline_s is not None:
+        headers["x-deadline-ms"] = str(int(deadline_s * 1000))
+    if key is not None:
+        headers["idempotency-key"] = key
+    return headers
+
+
+def make_prompt(tokens, *, seed=0):
+    """Return a prompt of so many tokens."""
+    head = f"{seed:08d}"
+    return head + "abcd" * max(0, tokens - 2)
+
+
+def ask_prompt(
+    node, tokens, *, max_tokens=4, seed=0, prompt=None, model="assistant",
+    timeout_s=60.0, **header_fields,
+):  # fmt: skip
+    """Send a prompt and read the streamed answer."""
+    body = {
+        "model": model,
+        "prompt": make_prompt(tokens, seed=seed) if prompt is None else prompt,
+        "max_tokens": max_tokens,
+        "stream": True,
+    }
+    begun_s = time.monotonic()
+    texts = []
+    first_s = 0.0
+    whole = False
+    error = None
+    try:
+        with httpx.stream(
+            "POST", f"{node.url}/v1/completions", json=body, timeout=timeout_s,
+            headers=make_headers(**header_fields), trust_env=False,
+        ) as response:  # fmt: skip
+            request_id = response.headers.get("x-request-id", "")
+            headers = dict(response.headers)
+            if response.status_code >= 400:
+                error = json.loads(response.read())
+            for line in response.iter_lines() if error is None else ():
+                if line == "data: [DONE]":
+                    whole = True
+                elif line.startswith("data: "):
+                    event = json.loads(line[6:])
+                    if "error" in event:
+                        error = event
+                        continue
+                    first_s = first_s or time.monotonic() - begun_s
+                    texts.append(event["choices"][0]["text"])
+            status = response.status_code
+    except httpx.HTTPError as failure:
+        lost = {"error": {"outcome": "unknown", "reason": f"connection: {failure!r}"}}
+        return Answer(0, lost, texts=tuple(texts), total_s=time.monotonic() - begun_s)
+    return Answer(
+        status, error, request_id, tuple(texts), whole, first_s,
+        time.monotonic() - begun_s, headers,
+    )  # fmt: skip
+
+
+def post(node, path, body, *, timeout_s=60.0, content=None, **header_fields):
+    """Send a small call and return its answer."""
+    begun_s = time.monotonic()
+    sent = {"json": body} if content is None else {"content": content}
+    try:
+        response = httpx.post(
+            f"{node.url}{path}", timeout=timeout_s, trust_env=False,
+            headers=make_headers(**header_fields), **sent,
+        )  # fmt: skip
+        decoded = response.json()
+    except (httpx.HTTPError, ValueError) as failure:
+        lost = {"error": {"outcome": "unknown", "reason": f"connection: {failure!r}"}}
+        return Answer(0, lost, total_s=time.monotonic() - begun_s)
+    return Answer(
+        response.status_code, decoded, response.headers.get("x-request-id", ""),
+        total_s=time.monotonic() - begun_s, headers=dict(response.headers),
+    )  # fmt: skip
+
+
+def get_key(node, **header_fields):
+    """Fetch an idempotency key."""
+    return post(node, "/v1/keys", {}, **header_fields).body["key"]
+
+
+def book(node, key, *, amount=100, **fields):
+    """Send a deposit with a key."""
+    return post(
+        node, "/v1/services/booking/deposit", {"amount": amount}, key=key, **fields
+    )
+
+
+def count_runs(fleet, key):
+    """Count how often a key ran, over all booking replicas."""
+    return sum(fleet.record(name)["runs"].get(key, 0) for name in fleet.services)
+
+
+def list_started(fleet):
+    """Return the request ids that some upstream has started."""
+    started = set()
+    for name in (*fleet.engines, *fleet.services):
+        if fleet.processes[name].is_running():
+            rows = fleet.record(name)["starts"]
+            started.update(row["request_id"] for row in rows)
+    return started
+
+
+def sum_held(fleet):
+    """Return the tokens of memory that all running engines hold."""
+    return sum(
+        fleet.record(name)["kv_used_tokens"]
+        for name, engine in fleet.engines.items()
+        if engine.is_running()
+    )
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,324 @@
+"""A stand-in model engine: batching, prefill, decode, KV memory and cold start.
+
+The engine forgets nothing by itself: a stream whose caller went away keeps its
+KV memory until somebody cancels it, as the real engines may.
+"""
+
+import itertools
+import json
+import math
+import os
+import time
+import uuid
+from dataclasses import dataclass, field
+
+import anyio
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, StreamingResponse
+from starlette.routing import Route
+
+BYTES_PER_TOKEN = 4
+TICK_S = 0.005
+
+
+@dataclass(frozen=True)
+class EngineSettings:
+    """What one stand-in engine is like."""
+
+    name: str
+    kv_capacity_tokens: int = 400_000
+    prefill_tokens_per_s: float = 400_000.0
+    decode_s: float = 0.01
+    cold_limit: int = 2
+    cold_s: float = 0.0
+    checks_fencing: bool = False
+    report_lag_s: float = 0.2
+
+
+@dataclass
+class Holding:
+    """KV memory held for one attempt."""
+
+    holding_id: str
+    request_id: str
+    tokens: int
+    since_s: float
+    cancelled: bool = False
+
+
+@dataclass
+class Prefill:
+    """A prompt, or part of one, that is still to be read."""
+
+    priority: int
+    order: int
+    remaining_tokens: float
+    done: anyio.Event = field(default_factory=anyio.Event)
+
+
+def count_tokens(text):
+    """Count the tokens of a prompt, four bytes each."""
+    return max(1, math.ceil(len(text) / BYTES_PER_TOKEN))
+
+
+class Engine:
+    """The state of one engine and what its HTTP interface does with it."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.boot_id = uuid.uuid4().hex
+        self.started_s = time.monotonic()
+        self.cold_until_s = self.started_s + settings.cold_s
+        self.holdings = {}
+        self.prefills = []
+        self.order = itertools.count()
+        self.cached_prefixes = {}
+        self.fencing_number = 0
+        self.faults = {}
+        self.record = []
+        self.in_flight = 0
+        self.worst_cold_in_flight = 0
+        self.fallen_over = 0
+        self.report = None
+
+    def is_cold(self):
+        """Tell whether the engine bears only a few requests."""
+        return time.monotonic() < self.cold_until_s
+
+    def kv_used_tokens(self):
+        """Sum the tokens of all that is held."""
+        return sum(holding.tokens for holding in self.holdings.values())
+
+    def make_report(self):
+        """Return the load report, renewed only every ``report_lag_s``."""
+        now_s = time.monotonic()
+        report = self.report
+        if report is None or now_s - report["at_s"] >= self.settings.report_lag_s:
+            self.report = {
+                "at_s": now_s,
+                "boot_id": self.boot_id,
+                "warm": not self.is_cold(),
+                "running": self.in_flight,
+                "waiting_prefill_tokens": int(
+                    sum(job.remaining_tokens for job in self.prefills)
+                ),
+                "kv_used_tokens": self.kv_used_tokens(),
+                "kv_capacity_tokens": self.settings.kv_capacity_tokens,
+            }
+        return self.report
+
+    async def run_prefill(self):
+        """Spend the prefill rate on the first job by priority, for ever."""
+        last_s = time.monotonic()
+        while True:
+            await anyio.sleep(TICK_S)
+            now_s = time.monotonic()
+            budget = self.settings.prefill_tokens_per_s * (now_s - last_s)
+            last_s = now_s
+            while budget > 0 and self.prefills:
+                job = min(self.prefills, key=lambda job: (job.priority, job.order))
+                spent = min(budget, job.remaining_tokens)
+                job.remaining_tokens -= spent
+                budget -= spent
+                if job.remaining_tokens <= 0:
+                    self.prefills.remove(job)
+                    job.done.set()
+
+    async def prefill(self, tokens, *, priority, prefix_key):
+        """Wait until ``tokens`` were read; a cached prefix is read at once."""
+        cached = self.cached_prefixes.get(prefix_key, 0) if prefix_key else 0
+        fresh = max(1, tokens - cached)
+        job = Prefill(priority, next(self.order), fresh)
+        self.prefills.append(job)
+        try:
+            await job.done.wait()
+        finally:
+            if job in self.prefills:
+                self.prefills.remove(job)
+        if prefix_key:
+            self.cached_prefixes[prefix_key] = tokens
+        return min(cached, tokens)
+
+    def admit(self):
+        """Count one more request; a cold engine under load falls over."""
+        self.in_flight += 1
+        if not self.is_cold():
+            return
+        self.worst_cold_in_flight = max(self.worst_cold_in_flight, self.in_flight)
+        if self.in_flight > self.settings.cold_limit:
+            self.fallen_over += 1
+
+    def hold(self, request_id, tokens):
+        """Take KV memory, or return None where there is not enough."""
+        if self.kv_used_tokens() + tokens > self.settings.kv_capacity_tokens:
+            return None
+        holding = Holding(uuid.uuid4().hex, request_id, tokens, time.monotonic())
+        self.holdings[holding.holding_id] = holding
+        return holding
+
+    def free(self, holding_id):
+        """Give KV memory back."""
+        holding = self.holdings.pop(holding_id, None)
+        if holding is not None:
+            holding.cancelled = True
+
+    async def stream(self, body, holding):
+        """Yield the answer's chunks, one a token, then the end mark."""
+        attempt_id = body["attempt_id"]
+        prompt_tokens = count_tokens(body["prompt"])
+        first = body.get("resume_from", 0)
+        finished = False
+        try:
+            if self.faults.get("silent"):
+                await anyio.sleep(3600)
+            cached = await self.prefill(
+                prompt_tokens,
+                priority=body.get("priority", 0),
+                prefix_key=body.get("prefix_key"),
+            )
+            for seq in range(first, body["max_tokens"]):
+                if holding.cancelled:
+                    return
+                if self.faults.get("stall_at") == seq:
+                    await anyio.sleep(3600)
+                if self.faults.get("cut_at") == seq:
+                    self.faults.pop("cut_at")
+                    return
+                sent_id = attempt_id
+                if self.faults.get("cross_at") == seq:
+                    self.faults.pop("cross_at")
+                    yield sse({"attempt_id": "other", "seq": seq, "text": "alien "})
+                await anyio.sleep(self.settings.decode_s)
+                text = f"{body['request_id'][:6]}.{seq} "
+                yield sse({"attempt_id": sent_id, "seq": seq, "text": text})
+                if self.faults.get("duplicate_at") == seq:
+                    yield sse({"attempt_id": sent_id, "seq": seq, "text": text})
+            usage = {"prompt_tokens": prompt_tokens, "cached_tokens": cached}
+            end = {"attempt_id": attempt_id, "seq": body["max_tokens"], "end": True}
+            finished = True
+            yield sse(end | {"usage": usage})
+        finally:
+            self.in_flight -= 1
+            if finished:
+                self.free(holding.holding_id)
+
+
+def sse(value):
+    """Encode one server-sent event."""
+    return f"data: {json.dumps(value)}\n\n".encode()
+
+
+def make_app(settings):
+    """Return the engine's HTTP application."""
+    engine = Engine(settings)
+
+    async def load(request):
+        if engine.faults.get("load_silent"):
+            await anyio.sleep(3600)
+        return JSONResponse(engine.make_report())
+
+    async def complete(request):
+        body = await request.json()
+        if body.get("expected_boot_id", engine.boot_id) != engine.boot_id:
+            return JSONResponse({"error": "other boot", "started": False}, 409)
+        own_segment = body.get("holding_id")
+        if own_segment is not None:
+            holding = engine.holdings.get(own_segment)
+        else:
+            tokens = count_tokens(body["prompt"]) + body["max_tokens"]
+            holding = engine.hold(body["request_id"], tokens)
+        if holding is None:
+            return JSONResponse({"error": "memory is full", "started": False}, 503)
+        engine.admit()
+        engine.record.append(
+            {"request_id": body["request_id"], "attempt_id": body["attempt_id"],
+             "at_s": time.monotonic(), "cold": engine.is_cold()}
+        )  # fmt: skip
+        headers = {"x-boot-id": engine.boot_id, "x-holding-id": holding.holding_id}
+        return StreamingResponse(
+            engine.stream(body, holding),
+            media_type="text/event-stream",
+            headers=headers,
+        )
+
+    async def reserve(request):
+        body = await request.json()
+        holding = engine.hold(body["request_id"], body["tokens"])
+        if holding is None:
+            return JSONResponse({"error": "memory is full", "started": False}, 503)
+        return JSONResponse({"holding_id": holding.holding_id})
+
+    async def segment(request):
+        body = await request.json()
+        if body["holding_id"] not in engine.holdings:
+            return JSONResponse({"error": "unknown holding"}, 404)
+        await engine.prefill(
+            count_tokens(body["prompt"]), priority=body["priority"], prefix_key=None
+        )
+        return JSONResponse({"handle": f"{settings.name}/{body['holding_id']}"})
+
+    async def held(request):
+        now_s = time.monotonic()
+        rows = [
+            {"holding_id": h.holding_id, "request_id": h.request_id,
+             "tokens": h.tokens, "age_s": now_s - h.since_s}
+            for h in engine.holdings.values()
+        ]  # fmt: skip
+        return JSONResponse({"boot_id": engine.boot_id, "holdings": rows})
+
+    async def release(request):
+        body = await request.json()
+        if engine.faults.get("lose_releases", 0) > 0:
+            engine.faults["lose_releases"] -= 1
+            return JSONResponse({"error": "lost"}, 503)
+        engine.free(body["holding_id"])
+        return JSONResponse({})
+
+    async def order(request):
+        body = await request.json()
+        number = body["fencing_number"]
+        if settings.checks_fencing and number < engine.fencing_number:
+            return JSONResponse({"error": "old fencing number"}, 409)
+        engine.fencing_number = max(number, engine.fencing_number)
+        return JSONResponse({"fencing_number": engine.fencing_number})
+
+    async def faults(request):
+        body = await request.json()
+        if body.pop("turn_cold_s", None) is not None:
+            engine.boot_id = uuid.uuid4().hex
+            engine.cold_until_s = time.monotonic() + settings.cold_s
+            engine.report = None
+        if body.pop("exit", None):
+            os._exit(3)
+        engine.faults.update(body)
+        return JSONResponse(engine.faults)
+
+    async def record(request):
+        return JSONResponse(
+            {"starts": engine.record, "fallen_over": engine.fallen_over,
+             "worst_cold_in_flight": engine.worst_cold_in_flight,
+             "kv_used_tokens": engine.kv_used_tokens(), "boot_id": engine.boot_id}
+        )  # fmt: skip
+
+    async def lifespan(scope_app):
+        async with anyio.create_task_group() as group:
+            group.start_soon(engine.run_prefill)
+            yield
+            group.cancel_scope.cancel()
+
+    from contextlib import asynccontextmanager
+
+    return Starlette(
+        lifespan=asynccontextmanager(lifespan),
+        routes=[
+            Route("/load", load),
+            Route("/v1/completions", complete, methods=["POST"]),
+            Route("/reserve", reserve, methods=["POST"]),
+            Route("/segment", segment, methods=["POST"]),
+            Route("/held", held),
+            Route("/release", release, methods=["POST"]),
+            Route("/orders", order, methods=["POST"]),
+            Route("/faults", faults, methods=["POST"]),
+            Route("/record", record),
+        ],
+    )
--- /dev/null
+++ b/standins/local.py
@@ -0,0 +1,315 @@
+"""Start stand-ins and nodes as separate processes on this machine, for trials.
+
+Only processes that were started here are ever stopped, each by its own id.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import httpx
+
+from lycheetide.fleet import FleetBuilder, decode_entry, make_change_record
+from lycheetide.fleet._check import entry_name
+
+START_S = 20.0
+STOP_S = 15.0
+LOOPBACK = "127.0.0.1"
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def find_port():
+    """Return a port of the loopback address that is free at the moment."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return probe.getsockname()[1]
+
+
+@dataclass
+class Process:
+    """One process that was started here."""
+
+    name: str
+    popen: subprocess.Popen
+    url: str
+    operator_url: str = ""
+    peer_address: str = ""
+    failure_domain: str = ""
+
+    def signal(self, number):
+        """Send a signal to this process."""
+        self.popen.send_signal(number)
+
+    def kill(self):
+        """Kill it at once."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait(STOP_S)
+
+    def freeze(self):
+        """Stop it without ending it; its connections stay open."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self):
+        """Let it go on."""
+        self.signal(signal.SIGCONT)
+
+    def is_running(self):
+        """Tell whether it has not ended."""
+        return self.popen.poll() is None
+
+
+class LocalFleet:
+    """Processes on the loopback address; use as a context manager.
+
+    Parameters
+    ----------
+    region : str
+        The region of all nodes.
+    settings : dict of str to dict
+        INI sections that each node gets besides its own.
+    """
+
+    def __init__(self, *, region="munster", settings=None):
+        self.region = region
+        self.settings = settings or {}
+        self.folder = Path(tempfile.mkdtemp(prefix="lycheetide-trial-"))
+        self.processes = {}
+        self.nodes = {}
+        self.engines = {}
+        self.services = {}
+        self.http = httpx.Client(timeout=30, trust_env=False)
+        self.listed = []
+        self.version = 0
+
+    def __enter__(self):
+        """Return this fleet."""
+        return self
+
+    def __exit__(self, *_):
+        """Stop every process that was started here."""
+        for process in self.processes.values():
+            if process.is_running():
+                process.thaw()
+                process.kill()
+        self.http.close()
+
+    def _start(self, name, arguments, **fields):
+        log = (self.folder / f"{name}.log").open("ab")
+        environment = dict(os.environ, PYTHONPATH=str(ROOT))
+        popen = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            stdout=log, stderr=log, cwd=ROOT, env=environment,
+        )  # fmt: skip
+        log.close()
+        process = Process(name, popen, **fields)
+        self.processes[name] = process
+        return process
+
+    def _start_standin(self, kind, name, options):
+        address = f"{LOOPBACK}:{find_port()}"
+        arguments = ["standins", kind, "--address", address]
+        arguments += ["--options", json.dumps(options)]
+        return self._start(name, arguments, url=f"http://{address}")
+
+    def start_platform(self, **options):
+        """Start the log, the host list and the weight store."""
+        self.platform = self._start_standin("platform", "platform", options)
+        self.wait_url(f"{self.platform.url}/record")
+        return self.platform
+
+    def start_engine(self, name, **options):
+        """Start an engine."""
+        engine = self._start_standin("engine", name, {"name": name} | options)
+        self.engines[name] = engine
+        return engine
+
+    def start_service(self, name, **options):
+        """Start a replica of a plain service."""
+        service = self._start_standin("service", name, {"name": name} | options)
+        self.services[name] = service
+        return service
+
+    def start_node(self, name, failure_domain):
+        """Start a node, again under the same name if there was one."""
+        addresses = {
+            key: f"{LOOPBACK}:{find_port()}"
+            for key in ("caller_address", "peer_address", "operator_address")
+        }
+        sections = {
+            "node": {
+                "name": name,
+                "region": self.region,
+                "failure_domain": failure_domain,
+            },
+            "listen": addresses,
+            "platform": {"log_url": self.platform.url, "hosts_url": self.platform.url},
+        }
+        for section, values in self.settings.items():
+            sections.setdefault(section, {}).update(values)
+        path = self.folder / f"{name}.ini"
+        path.write_text(
+            "\n".join(
+                f"[{section}]\n" + "\n".join(f"{k} = {v}" for k, v in values.items())
+                for section, values in sections.items()
+            )
+        )
+        node = self._start(
+            name,
+            ["lycheetide", "node", "--settings", str(path)],
+            url=f"http://{addresses['caller_address']}",
+            operator_url=f"http://{addresses['operator_address']}",
+            peer_address=addresses["peer_address"],
+            failure_domain=failure_domain,
+        )
+        self.nodes[name] = node
+        self.list_hosts()
+        return node
+
+    def list_hosts(self, *, leaving=()):
+        """Tell the platform's list which hosts there are."""
+        rows = [
+            {
+                "name": name,
+                "peer_address": node.peer_address,
+                "state": "leaving" if name in leaving else "live",
+            }
+            for name, node in self.nodes.items()
+        ]
+        self.http.post(f"{self.platform.url}/hosts", json={"hosts": rows})
+
+    def wait_url(self, url, *, timeout_s=START_S):
+        """Wait until a URL answers with success."""
+        self.wait_for(lambda: self.try_get(url) is not None, timeout_s=timeout_s)
+
+    def try_get(self, url, timeout_s=2.0):
+        """Return a URL's decoded answer, or None."""
+        try:
+            response = self.http.get(url, timeout=timeout_s)
+            return response.json() if response.is_success else None
+        except (httpx.HTTPError, ValueError):
+            return None
+
+    def wait_for(self, is_true, *, timeout_s=START_S, what="the condition"):
+        """Wait until a condition holds; return how long it took in seconds."""
+        begun_s = time.monotonic()
+        while time.monotonic() - begun_s < timeout_s:
+            if is_true():
+                return time.monotonic() - begun_s
+            time.sleep(0.02)
+        raise TimeoutError(f"{what} did not come about in {timeout_s} s")
+
+    def status(self, name):
+        """Return what a node says of itself, or None."""
+        return self.try_get(f"{self.nodes[name].operator_url}/status")
+
+    def wait_ready(self, *, timeout_s=START_S, may_have_ended=False):
+        """Wait until all nodes are ready, in one view, and all replicas are seen."""
+
+        def is_ready():
+            ended = [n for n, p in self.processes.items() if not p.is_running()]
+            if ended and not may_have_ended:
+                raise RuntimeError(f"ended by themselves: {ended}")
+            running = [n for n, p in self.nodes.items() if p.is_running()]
+            rows = [self.status(name) for name in running]
+            if any(row is None or row["state"] != "serving" for row in rows):
+                return False
+            if any(len(row["members"]) != len(running) for row in rows):
+                return False
+            seen = [
+                replica["phase"]
+                for row in rows
+                for cell in row["cells"]
+                for replica in cell["replicas"]
+                if cell["settled"]
+            ]
+            wanted = len(self.engines) + len(self.services)
+            return len(seen) == wanted and "unseen" not in seen
+
+        return self.wait_for(is_ready, timeout_s=timeout_s, what="readiness")
+
+    def record(self, name):
+        """Return a stand-in's own record."""
+        return self.http.get(f"{self.processes[name].url}/record").json()
+
+    def set_faults(self, name, **faults):
+        """Make a stand-in misbehave."""
+        self.http.post(f"{self.processes[name].url}/faults", json=faults)
+
+    def publish(self, changes, *, author="operator", base_version=None, record_id=None):
+        """Append a change of the configuration to the log; return its id."""
+        record_id = record_id or os.urandom(6).hex()
+        base = self.version if base_version is None else base_version
+        record = make_change_record(
+            record_id, author=author, base_version=base, changes=changes
+        )
+        response = self.http.post(
+            f"{self.platform.url}/streams/config/records", json={"records": [record]}
+        )
+        self.version = response.json()["next_offset"]
+        return record_id
+
+    def publish_document(self, document):
+        """Publish a whole configuration."""
+        return self.publish(list(list_entries(document)))
+
+
+def list_entries(document):
+    """Yield a document's entries as changes."""
+    for section, rows in document.items():
+        for row in rows:
+            yield section, entry_name(section, row), decode_entry(section, row)
+
+
+DOMAINS = ("cork-a", "cork-b", "cork-c")
+TOKENS = {"kestrel": "kestrel-token", "parish": "parish-token"}
+
+
+def make_forge_works(fleet, *, engines=6, nodes=3, bookings=3, **engine_options):
+    """Start a small Forge Works fleet and publish its configuration."""
+    fleet.start_platform()
+    builder = FleetBuilder(replicas_per_cell=engine_options.pop("per_cell", 8))
+    builder.add_model("assistant")
+    for domain in DOMAINS:
+        builder.add_failure_domain(domain, region="munster")
+    add_classes_and_customers(builder)
+    options = {"cold_s": 0.0} | engine_options
+    for index in range(engines):
+        name = f"assistant-{index + 1}"
+        engine = fleet.start_engine(name, **options)
+        builder.add_upstream(
+            name, kind="engine", serves="assistant",
+            failure_domain=DOMAINS[index % 3], url=engine.url,
+            kv_capacity_tokens=options.get("kv_capacity_tokens", 400_000),
+            cold_limit_requests=options.get("cold_limit", 2),
+            prefill_tokens_per_s=options.get("prefill_tokens_per_s", 400_000.0),
+        )  # fmt: skip
+    for index in range(bookings):
+        name = f"booking-{index + 1}"
+        service = fleet.start_service(name, checks_fencing=index == 0)
+        builder.add_upstream(
+            name, kind="service", serves="booking", checks_fencing=index == 0,
+            failure_domain=DOMAINS[index % 3], url=service.url,
+        )  # fmt: skip
+    for index in range(nodes):
+        fleet.start_node(f"entry-{index + 1}", DOMAINS[index % 3])
+    fleet.publish_document(builder.make_document())
+    for process in (*fleet.engines.values(), *fleet.services.values()):
+        fleet.wait_url(f"{process.url}/record")
+
+
+def add_classes_and_customers(builder):
+    """Add the Forge Works' classes, customers and operations."""
+    builder.add_class("quote", priority=0, deadline_s=20.0, aging_s=10.0)
+    builder.add_class("review", priority=1, deadline_s=60.0, aging_s=20.0)
+    builder.add_class("archive", priority=2, deadline_s=120.0, aging_s=30.0)
+    for name, token in TOKENS.items():
+        builder.add_customer(name, token=token)
+    builder.add_operation("booking", "deposit", idempotent=False)
+    builder.add_operation("booking", "status", idempotent=True)
