--- a/lycheetide/cli/_main.py
+++ b/lycheetide/cli/_main.py
@@ -1,21 +1,48 @@
-"""All commands of ``lycheetide``."""
+"""All commands of ``lycheetide``.
 
-import sys
-from dataclasses import dataclass
+Exit codes: 0 done, 1 a node or the log gave no answer, 2 findings in a file or in
+the command line, 3 the fleet refused the change.
+"""
+
+import json
+from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Annotated
 
 import anyio
 import cappa
 
 from lycheetide._version import __version__
+from lycheetide.cli._config import ConfigCommand, NodeAddress, load_document
+from lycheetide.cli._output import EXIT_FAULTS, fetch, print_findings
+from lycheetide.load import (
+    make_report,
+    plan_requests,
+    print_table,
+    run_load,
+    save_plot,
+)
 from lycheetide.metrics import set_up_logs
 from lycheetide.node import run_node
 from lycheetide.settings import read_settings
 
-EXIT_FAULTS = 2
+
+def load_settings(path):
+    """Read settings, or print every finding and exit."""
+    try:
+        return read_settings(path)
+    except ExceptionGroup as group:
+        print_findings(group.exceptions)
+        raise cappa.Exit(code=EXIT_FAULTS) from None
+    except OSError as error:
+        raise cappa.Exit(f"{path}: {error.strerror}", code=EXIT_FAULTS) from None
 
 
-@cappa.command(name="node", help="Run a node.")
+@cappa.command(
+    name="node",
+    help="Run a node until SIGTERM; it then leaves without cutting a request.",
+    description="Example: lycheetide node --settings /etc/lycheetide/node.ini",
+)
 @dataclass
 class NodeCommand:
     """Run a node.
@@ -35,24 +62,187 @@
         anyio.run(run_node, settings)
 
 
-def load_settings(path):
-    """Read settings, or print every finding and exit."""
-    try:
-        return read_settings(path)
-    except ExceptionGroup as group:
-        print_findings(group)
-        raise cappa.Exit(code=EXIT_FAULTS) from None
-    except OSError as error:
-        raise cappa.Exit(f"{path}: {error.strerror}", code=EXIT_FAULTS) from None
+@cappa.command(
+    name="check",
+    help="Check a settings file (.ini) or a configuration (.json) and report every "
+    "finding.",
+    description="Example: lycheetide check node.ini",
+)
+@dataclass
+class CheckCommand:
+    """Check a file.
+
+    Parameters
+    ----------
+    file : str
+        The file.
+    """
+
+    file: str
+
+    def __call__(self):
+        """Print the findings, or that there are none."""
+        if Path(self.file).suffix == ".json":
+            load_document(self.file)
+        else:
+            load_settings(self.file)
+        print(f"{self.file}: no findings")
+
+
+@cappa.command(
+    name="status",
+    help="Show what a node owns, knows and refuses.",
+    description="Example: lycheetide status --node 10.0.0.1:9002",
+)
+@dataclass
+class StatusCommand:
+    """Show a node's status.
+
+    Parameters
+    ----------
+    node : str
+        Its operator address.
+    as_json : bool
+        Whether to print all of it as JSON.
+    """
+
+    node: NodeAddress
+    as_json: Annotated[bool, cappa.Arg(long="--json", help="print JSON")] = False
+
+    def __call__(self):
+        """Print it."""
+        status = fetch(self.node, "/status")
+        if self.as_json:
+            print(json.dumps(status, indent=2))
+            return
+        for line in describe_status(status):
+            print(line)
 
 
-def print_findings(group):
-    """Print all findings of a file, a line each."""
-    for error in group.exceptions:
-        print(error, file=sys.stderr)
+def describe_status(status):
+    """Yield the lines of a node's status."""
+    yield (
+        f"{status['node']} is {status['state']}; fresh {status['fresh']}, "
+        f"log read {status['log_age_s']} s ago"
+    )
+    yield (
+        f"configuration {status['config_version']}, view {status['view']} "
+        f"(settled {status['settled_view']}), acting as owner {status['acting']}"
+    )
+    yield f"members: {', '.join(status['members'])}"
+    yield f"active requests {status['active_requests']}, permits {status['permits']}"
+    for cell in status["cells"]:
+        yield (
+            f"cell {cell['cell']}: waiting {cell['waiting']}, "
+            f"permits {cell['permits']}, lost {cell['lost_permits']}"
+        )
+        for replica in cell["replicas"]:
+            state = "open" if replica["open"] else "closed"
+            yield (
+                f"  {replica['upstream']} in {replica['failure_domain']}: "
+                f"{replica['phase']}, {state}, bears {replica['limit']}"
+            )
+    for name, count in sorted(status["counters"].items()):
+        yield f"{name} {count}"
 
 
-@cappa.command(name="lycheetide", help="Serve prompts of very different lengths.")
+@cappa.command(
+    name="explain",
+    help="Show why a recent request went where it went, step by step.",
+    description="Example: lycheetide explain 39c0a4ad7da04b74 --node 10.0.0.1:9002",
+)
+@dataclass
+class ExplainCommand:
+    """Explain a request.
+
+    Parameters
+    ----------
+    request_id : str
+        From the answer's X-Request-Id header.
+    node : str
+        The operator address of the node that answered it.
+    """
+
+    request_id: str
+    node: NodeAddress
+
+    def __call__(self):
+        """Print the steps."""
+        for step in fetch(self.node, f"/explain/{self.request_id}")["steps"]:
+            after_ms = step.pop("after_ms")
+            what = step.pop("what")
+            rest = ", ".join(f"{key}={value}" for key, value in step.items())
+            print(f"{after_ms:10.2f} ms  {what}  {rest}")
+
+
+@cappa.command(
+    name="load",
+    help="Send prompts of mixed lengths, drawn from a seed, and report.",
+    description="Example: lycheetide load http://10.0.0.1:8080 --token secret "
+    "--model assistant --requests 200 --rate 20 --seed 7 --plot load.png",
+)
+@dataclass
+class LoadCommand:
+    """Send a load.
+
+    Parameters
+    ----------
+    urls : list of str
+        The nodes' addresses, used in turn.
+    token, model : str
+        Whose load it is and what it asks.
+    requests, rate, seed, longest : int or float
+        The load.
+    json_path, plot_path : str
+        Where the report and the plot go besides.
+    """
+
+    urls: list[str]
+    token: Annotated[str, cappa.Arg(long=True, help="the customer's token")]
+    model: Annotated[str, cappa.Arg(long=True, help="the model")]
+    requests: Annotated[int, cappa.Arg(long=True, help="how many")] = 100
+    rate: Annotated[float, cappa.Arg(long=True, help="how many a second")] = 10.0
+    seed: Annotated[int, cappa.Arg(long=True, help="the seed")] = 0
+    longest: Annotated[int, cappa.Arg(long=True, help="longest prompt, tokens")] = (
+        1_000_000
+    )
+    json_path: Annotated[
+        str, cappa.Arg(long="--json", help="write the report as JSON")
+    ] = ""
+    plot_path: Annotated[str, cappa.Arg(long="--plot", help="draw a PNG")] = ""
+    classes: Annotated[
+        list[str],
+        cappa.Arg(long="--classes", num_args=2, help="short class, then huge class"),
+    ] = field(default_factory=list)
+
+    def __call__(self):
+        """Send, wait and report."""
+        short_class, huge_class = self.classes or ("quote", "archive")
+        plan = plan_requests(
+            self.requests,
+            rate_per_s=self.rate,
+            random_state=self.seed,
+            longest_tokens=self.longest,
+            short_class=short_class,
+            huge_class=huge_class,
+        )
+
+        async def send():
+            return await run_load(self.urls, plan, token=self.token, model=self.model)
+
+        outcomes = anyio.run(send)
+        report = make_report(outcomes, seed=self.seed)
+        for line in print_table(report):
+            print(line)
+        if self.json_path:
+            Path(self.json_path).write_text(json.dumps(report, indent=2) + "\n")
+        if self.plot_path:
+            save_plot(outcomes, self.plot_path)
+
+
+@cappa.command(
+    name="lycheetide", help="A serving layer for prompts of very different lengths."
+)
 @dataclass
 class Lycheetide:
     """The program.
@@ -63,11 +253,17 @@
         What to do.
     """
 
-    command: cappa.Subcommands[NodeCommand]
+    command: cappa.Subcommands[
+        NodeCommand
+        | CheckCommand
+        | ConfigCommand
+        | StatusCommand
+        | ExplainCommand
+        | LoadCommand
+    ]
 
 
 def main():
     """Run the command line."""
-    cappa.invoke(
-        Lycheetide, version=cappa.Arg(__version__, long=True, help="the version")
-    )
+    version: cappa.Arg[str] = cappa.Arg(__version__, long=True, help="the version")
+    cappa.invoke(Lycheetide, version=version)
--- a/lycheetide/fleet/_build.py
+++ b/lycheetide/fleet/_build.py
@@ -13,6 +13,7 @@
 
 import hashlib
 import json
+from typing import Any
 
 from lycheetide.fleet._check import check_document
 from lycheetide.fleet._model import (
@@ -39,7 +40,7 @@
 
     def __init__(self, *, replicas_per_cell=REPLICAS_PER_CELL):
         self.replicas_per_cell = replicas_per_cell
-        self._entries = {
+        self._entries: dict[str, list[Any]] = {
             "models": [],
             "failure_domains": [],
             "classes": [],
@@ -89,7 +90,7 @@
         cell's owner with a queue and no replica.
         """
         regions = {d.name: d.region for d in self._entries["failure_domains"]}
-        groups = {}
+        groups: dict[tuple[str, str], list[Any]] = {}
         for name, fields in self._upstreams:
             region = regions.get(fields["failure_domain"], "unknown")
             groups.setdefault((fields["serves"], region), []).append((name, fields))
--- a/lycheetide/fleet/_check.py
+++ b/lycheetide/fleet/_check.py
@@ -70,7 +70,7 @@
 
 def _find_cell_faults(fleet):
     """A cell has one owner, so it serves one name in one region."""
-    seen = {}
+    seen: dict[str, tuple[str, str | None]] = {}
     for name, upstream in fleet.upstreams.items():
         domain = fleet.failure_domains.get(upstream.failure_domain)
         region = domain.region if domain else None
@@ -89,7 +89,7 @@
 
 
 def _find_customer_faults(fleet):
-    owners = {}
+    owners: dict[str, str] = {}
     for name, customer in fleet.customers.items():
         if len(customer.token_sha256) != SHA256_DIGITS:
             came = f"{len(customer.token_sha256)} digits"
--- a/lycheetide/metrics/_counters.py
+++ b/lycheetide/metrics/_counters.py
@@ -24,7 +24,7 @@
 
     def __init__(self, client=None):
         self.client = client
-        self.counts = Counter()
+        self.counts: Counter[str] = Counter()
 
     def add(self, name, amount=1):
         """Add to one counter."""
--- a/lycheetide/metrics/_logs.py
+++ b/lycheetide/metrics/_logs.py
@@ -22,7 +22,7 @@
 
     def process(self, msg, kwargs):
         """Return the sentence with its prefix."""
-        return self.extra["prefix"] + msg, kwargs
+        return PARTS[self.logger.name.rpartition(".")[2]] + msg, kwargs
 
 
 def get_log(part):
@@ -34,7 +34,7 @@
         A key of ``PARTS``.
     """
     logger = logging.getLogger(f"lycheetide.{part}")
-    return _PrefixAdapter(logger, {"prefix": PARTS[part]})
+    return _PrefixAdapter(logger, {})
 
 
 def set_up_logs(*, level, node):
--- a/lycheetide/node/_owner.py
+++ b/lycheetide/node/_owner.py
@@ -67,7 +67,7 @@
 
 def list_cells(fleet):
     """Group a configuration's upstreams by cell."""
-    cells = {}
+    cells: dict[str, list[Any]] = {}
     for upstream in fleet.upstreams.values():
         cells.setdefault(upstream.cell, []).append(upstream)
     return cells
--- a/lycheetide/node/_prompts.py
+++ b/lycheetide/node/_prompts.py
@@ -240,7 +240,7 @@
     upstreams = [node.fleet.upstreams[name] for name in permit.replicas]
     attempt_id = draw_id()
     run.check = StreamCheck(attempt_id, run.check.next_seq)
-    holdings = []
+    holdings: list[tuple[Any, str]] = []
     try:
         call = await _prepare_call(node, run, permit, upstreams, holdings)
         await _read_answer(node, run, upstreams[-1], call, holdings, emit)
--- a/lycheetide/node/_run.py
+++ b/lycheetide/node/_run.py
@@ -1,6 +1,7 @@
 """Start a node, keep its parts running, and stop it without cutting a request."""
 
 import signal
+from typing import Any
 
 import anyio
 from hypercorn.asyncio import serve
@@ -33,6 +34,14 @@
 KEEP_ALIVE_S = 75.0
 HTTP_GRACE_S = 2.0
 
+FOLLOWERS: tuple[Any, ...] = (
+    follow_config,
+    follow_peers_config,
+    follow_views,
+    pull_peers,
+)
+"""The parts that tell of a change of configuration or view."""
+
 log = get_log("node")
 
 
@@ -54,13 +63,9 @@
         node.tasks = GuardedTasks(group, node.counters)
         server = make_server(make_handlers(node), address=settings.peer_address)
         await server.start()
-        for part in (follow_config, follow_peers_config, follow_views, pull_peers):
+        for part in FOLLOWERS:
             group.start_soon(keep_running, node, part, on_change)
-        for part in (
-            follow_hosts, follow_booking_head, write_snapshots, propose_views,
-            keep_cells, poll_reports, prove_replicas, reclaim_memory, renew_permits,
-            keep_life,
-        ):  # fmt: skip
+        for part in LOOPS:
             group.start_soon(keep_running, node, part)
         group.start_soon(node.booking_writer.run)
         group.start_soon(_serve_http, settings, Door(node).make_app(),
@@ -134,6 +139,21 @@
         await anyio.sleep(LIFE_TICK_S)
 
 
+LOOPS: tuple[Any, ...] = (
+    follow_hosts,
+    follow_booking_head,
+    write_snapshots,
+    propose_views,
+    keep_cells,
+    poll_reports,
+    prove_replicas,
+    reclaim_memory,
+    renew_permits,
+    keep_life,
+)
+"""The parts that run by themselves."""
+
+
 async def _wait_for_stop():
     """Wait for SIGTERM or SIGINT."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/lycheetide/node/_tail.py
+++ b/lycheetide/node/_tail.py
@@ -77,7 +77,14 @@
 
 
 def _keep_verdict(node, verdict):
-    """Remember what became of a change, for whoever published it."""
+    """Remember what became of a change, for whoever published it.
+
+    A publisher whose append had no answer appends again with the same id; the second
+    record loses against the first one, which must not look like a refusal.
+    """
+    known = node.verdicts.get(verdict.record_id)
+    if known is not None and known.accepted:
+        return
     node.verdicts[verdict.record_id] = verdict
     while len(node.verdicts) > VERDICTS_KEPT:
         node.verdicts.popitem(last=False)
--- a/lycheetide/scheduling/_cell.py
+++ b/lycheetide/scheduling/_cell.py
@@ -227,7 +227,7 @@
         list of Permit
             New permits, already counted against their replicas.
         """
-        running = Counter()
+        running: Counter[str] = Counter()
         for permit in self.permits.values():
             running[permit.ticket.customer] += permit.ticket.total_tokens
         draining = self._find_draining(now_s)
--- a/lycheetide/settings/_read.py
+++ b/lycheetide/settings/_read.py
@@ -2,6 +2,7 @@
 
 import configparser
 import re
+from typing import Any
 
 from lycheetide.settings._findings import Finding, SettingsError
 from lycheetide.settings._schema import FIELDS, Settings
@@ -39,7 +40,7 @@
         raise ExceptionGroup("broken settings", [SettingsError(finding)]) from None
     lines = _find_lines(text)
     findings = list(_find_unknown(parser, lines, path))
-    values = {}
+    values: dict[str, Any] = {}
     for field in FIELDS:
         _read_field(parser, field, lines, path, values, findings)
     findings.extend(_find_conflicts(values, lines, path))
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -150,7 +150,7 @@
 
 def list_started(fleet):
     """Return the request ids that some upstream has started."""
-    started = set()
+    started: set[str] = set()
     for name in (*fleet.engines, *fleet.services):
         if fleet.processes[name].is_running():
             rows = fleet.record(name)["starts"]
