--- /dev/null
+++ b/lycheetide/membership/tests/test_state.py
@@ -0,0 +1,214 @@
+"""Two owners never act at once, whatever is delayed, lost, frozen or restarted."""
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lycheetide.membership import Member, Membership, make_view_record
+from lycheetide.membership import _state as state_module
+
+HOSTS = 4
+CELLS = ("a", "b", "c")
+LEASE_S = 2.0
+SUSPECT_S = 2.0
+
+
+class Fleet(RuleBasedStateMachine):
+    """Nodes that hear one another and the log late, out of order, or not at all.
+
+    A node that is frozen is one for which no rule runs while time passes; its
+    answers wait in its sockets and are read later.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 100.0
+        self.log = []
+        self.read = [0] * HOSTS
+        self.lives = [0] * HOSTS
+        self.nodes = [self.make_node(host) for host in range(HOSTS)]
+        self.answers = []
+        first = tuple(node.own for node in self.nodes)
+        self.log.append(make_view_record("0", base_number=0, members=first))
+        for host in range(HOSTS):
+            self.read_log(host, 1)
+
+    def make_node(self, host):
+        own = Member(f"h{host}", f"life{self.lives[host]}", f"10.0.0.{host}:1", "d")
+        return Membership(own, lease_s=LEASE_S, suspect_s=SUSPECT_S)
+
+    def read_log(self, host, count):
+        for offset in range(self.read[host], min(len(self.log), count)):
+            self.nodes[host].take_record(offset, self.log[offset], now_s=self.now_s)
+            self.read[host] = offset + 1
+
+    def make_rows(self, host):
+        return tuple(
+            self.nodes[host].make_rows(
+                state="serving", config_version=0, cells=(), now_s=self.now_s
+            )
+        )
+
+    @rule(delay_s=st.floats(0.05, 1.5))
+    def pass_time(self, delay_s):
+        self.now_s += delay_s
+
+    @rule(asker=st.integers(0, HOSTS - 1), asked=st.integers(0, HOSTS - 1))
+    def ask(self, asker, asked):
+        if asker != asked:
+            life = self.lives[asker]
+            self.answers.append((asker, life, self.now_s, self.make_rows(asked)))
+
+    @rule(asker=st.integers(0, HOSTS - 1))
+    def ask_all(self, asker):
+        for asked in range(HOSTS):
+            self.ask(asker, asked)
+
+    @rule(position=st.integers(0, 50), loses=st.booleans())
+    def read_answer(self, position, loses):
+        if not self.answers:
+            return
+        asker, life, asked_s, rows = self.answers.pop(position % len(self.answers))
+        if not loses and life == self.lives[asker]:
+            own_id = self.nodes[asker].own.member_id
+            kept = [row for row in rows if row.member.member_id != own_id]
+            self.nodes[asker].take_rows(kept, asked_s=asked_s, now_s=self.now_s)
+
+    @rule(host=st.integers(0, HOSTS - 1))
+    def read_all_answers(self, host):
+        for _ in range(len(self.answers)):
+            self.read_answer(0, False)
+
+    @rule(host=st.integers(0, HOSTS - 1))
+    def follow_log(self, host):
+        self.read_log(host, len(self.log))
+        self.nodes[host].settle(now_s=self.now_s)
+
+    @rule(host=st.integers(0, HOSTS - 1))
+    def propose(self, host):
+        node = self.nodes[host]
+        members = node.propose(None, own_state="serving", now_s=self.now_s)
+        if members is not None:
+            record = make_view_record(
+                str(len(self.log)), base_number=node.view.number, members=members
+            )
+            self.log.append(record)
+
+    @rule(
+        bad=st.integers(0, HOSTS - 1),
+        cut_ways=st.sampled_from(["none", "in", "out", "both"]),
+        log_cut=st.sets(st.integers(0, HOSTS - 1), max_size=2),
+        frozen=st.sets(st.integers(0, HOSTS - 1), max_size=1),
+        late=st.booleans(),
+        rounds=st.integers(1, 14),
+    )
+    def run_rounds(self, bad, cut_ways, log_cut, frozen, late, rounds):
+        """Let time pass as in a fleet of which some links and hosts are bad."""
+        others = set(range(HOSTS)) - {bad}
+        cut = {(other, bad) for other in others if cut_ways in {"in", "both"}}
+        cut |= {(bad, other) for other in others if cut_ways in {"out", "both"}}
+        for _ in range(rounds):
+            self.now_s += 0.4
+            for host in set(range(HOSTS)) - frozen:
+                for asked in set(range(HOSTS)) - frozen - {host}:
+                    self.ask(host, asked)
+                    if (host, asked) in cut and not late:
+                        self.answers.pop()
+                    elif (host, asked) not in cut:
+                        self.read_answer(len(self.answers) - 1, False)
+                if host not in log_cut:
+                    self.follow_log(host)
+                    self.propose(host)
+                self.one_owner_acts()
+
+    @rule(host=st.integers(0, HOSTS - 1))
+    def restart(self, host):
+        self.lives[host] += 1
+        self.read[host] = 0
+        self.nodes[host] = self.make_node(host)
+
+    @invariant()
+    def one_owner_acts(self):
+        for cell in CELLS:
+            acting = [
+                node.own.member_id
+                for node in self.nodes
+                if node.is_acting(now_s=self.now_s)
+                and node.is_settled()
+                and node.find_owner(cell) == node.own
+            ]
+            assert len(acting) <= 1, (cell, acting)
+
+
+class TestFleet(Fleet.TestCase):
+    """A takeover while the old owner is cut off, frozen or slow.
+
+    The old owner lives on, cut off or frozen, while the others put a later view on the
+    log. If both granted at once, an engine in cold start would get twice what it
+    bears and fall over; callers would see their streams break.
+    """
+
+    settings = settings(
+        max_examples=100, stateful_step_count=40, deadline=None, derandomize=True
+    )
+
+
+@pytest.fixture(autouse=True)
+def _never_abandon(monkeypatch):
+    """Leave out the last resort for views whose members are all gone.
+
+    It rests on time alone, so it is not proved; docs/PROOFS.md says so.
+    """
+    monkeypatch.setattr(state_module, "ABANDON_LEASES", 10**9)
+
+
+def make_pair():
+    members = [Member(f"h{i}", "x", f"10.0.0.{i}:1", "d") for i in range(3)]
+    nodes = [Membership(m, lease_s=LEASE_S, suspect_s=SUSPECT_S) for m in members]
+    record = make_view_record("v1", base_number=0, members=members)
+    for node in nodes:
+        node.take_record(0, record, now_s=0.0)
+    return nodes
+
+
+def rows_of(node, now_s):
+    return list(
+        node.make_rows(state="serving", config_version=0, cells=(), now_s=now_s)
+    )
+
+
+def test_answers_that_waited_in_a_frozen_nodes_sockets_are_old():
+    """A node asks its peers, is frozen, and reads the answers when it is thawed.
+
+    Were they dated by their reading, it would think that it holds its lease and
+    grant, while its successor grants too.
+    """
+    first, second, third = make_pair()
+    answers = rows_of(second, 1.0) + rows_of(third, 1.0)
+    first.take_rows(answers, asked_s=1.0, now_s=60.0)
+    assert not first.is_acting(now_s=60.0)
+
+
+def test_an_outage_of_the_log_leaves_owners_acting():
+    """The log is out for an hour while the nodes hear one another.
+
+    If owners needed the log to act, every request would be refused in an outage.
+    """
+    first, second, third = make_pair()
+    for now_s in (10.0, 1000.0, 3600.0):
+        answers = rows_of(second, now_s) + rows_of(third, now_s)
+        first.take_rows(answers, asked_s=now_s, now_s=now_s)
+        assert first.is_acting(now_s=now_s + LEASE_S / 2)
+
+
+def test_a_node_that_hears_the_log_but_no_peer_proposes_nothing():
+    """A node loses its peers but not the log.
+
+    If it proposed a view of itself alone, it would take every cell of the region from
+    nodes that are well.
+    """
+    first, second, third = make_pair()
+    rows = rows_of(second, 1.0) + rows_of(third, 1.0)
+    first.take_rows(rows, asked_s=1.0, now_s=1.0)
+    assert first.propose(None, own_state="serving", now_s=10.0) is None
