Prove deposits at most once against real processes

Cause: nothing showed what becomes of a deposit under kills, freezes and outages. Ruled out: taking the domains out to hold a claim before its dispatch (the owner then refuses at once and the claim is released, which is right, but no crash in between). Before: three replicas that refuse once each made the caller wait for its deadline (outcome not run, reason deadline).

--- a/lycheetide/scheduling/_choose.py
+++ b/lycheetide/scheduling/_choose.py
@@ -1,6 +1,7 @@
 """Which replicas a request goes to."""
 
 import math
+from dataclasses import replace
 
 
 def count_segments(ticket, loads, policy):
@@ -36,6 +37,10 @@
     tuple of ReplicaLoad
         Empty if the request has to wait.
     """
+    if all(load.name in ticket.avoid for load in loads):
+        # Better a replica that has failed this request once than none until its
+        # deadline; a replica that is really gone is not among the loads.
+        ticket = replace(ticket, avoid=())
     segments = count_segments(ticket, loads, policy)
     if segments > 1:
         return _choose_span(ticket, loads, policy, segments)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -77,6 +77,7 @@
         self.faults = {}
         self.record = []
         self.in_flight = 0
+        self.life = 0
         self.worst_cold_in_flight = 0
         self.fallen_over = 0
         self.report = None
@@ -162,11 +163,23 @@
         if holding is not None:
             holding.cancelled = True
 
+    def turn_cold(self):
+        """Lose all work and memory and begin anew, without a word to anybody."""
+        for holding_id in list(self.holdings):
+            self.free(holding_id)
+        self.life += 1
+        self.in_flight = 0
+        self.boot_id = uuid.uuid4().hex
+        self.cold_until_s = time.monotonic() + self.settings.cold_s
+        self.cached_prefixes.clear()
+        self.report = None
+
     async def stream(self, body, holding):
         """Yield the answer's chunks, one a token, then the end mark."""
         attempt_id = body["attempt_id"]
         prompt_tokens = count_tokens(body["prompt"])
         first = body.get("resume_from", 0)
+        life = self.life
         finished = False
         try:
             if self.faults.get("silent"):
@@ -198,7 +211,8 @@
             finished = True
             yield sse(end | {"usage": usage})
         finally:
-            self.in_flight -= 1
+            if life == self.life:
+                self.in_flight -= 1
             if finished:
                 self.free(holding.holding_id)
 
@@ -284,10 +298,8 @@
 
     async def faults(request):
         body = await request.json()
-        if body.pop("turn_cold_s", None) is not None:
-            engine.boot_id = uuid.uuid4().hex
-            engine.cold_until_s = time.monotonic() + settings.cold_s
-            engine.report = None
+        if body.pop("turn_cold", None):
+            engine.turn_cold()
         if body.pop("exit", None):
             os._exit(3)
         engine.faults.update(body)
