--- a/lycheetide/membership/tests/test_state.py
+++ b/lycheetide/membership/tests/test_state.py
@@ -163,7 +163,7 @@
     monkeypatch.setattr(state_module, "ABANDON_LEASES", 10**9)
 
 
-def make_pair():
+def make_trio():
     members = [Member(f"h{i}", "x", f"10.0.0.{i}:1", "d") for i in range(3)]
     nodes = [Membership(m, lease_s=LEASE_S, suspect_s=SUSPECT_S) for m in members]
     record = make_view_record("v1", base_number=0, members=members)
@@ -184,18 +184,43 @@
     Were they dated by their reading, it would think that it holds its lease and
     grant, while its successor grants too.
     """
-    first, second, third = make_pair()
+    first, second, third = make_trio()
     answers = rows_of(second, 1.0) + rows_of(third, 1.0)
     first.take_rows(answers, asked_s=1.0, now_s=60.0)
     assert not first.is_acting(now_s=60.0)
 
 
+def test_a_later_owner_waits_until_most_members_know_the_later_view():
+    """One node is heard by nobody, yet hears the third, which can't read the log.
+
+    Both go by the earlier view and grant; the second has put a later view on the log.
+    Had it begun after a mere wait, an engine would have two owners.
+    """
+    first, second, third = make_trio()
+    later = make_view_record("v2", base_number=1, members=[second.own, third.own])
+    second.take_record(1, later, now_s=3.0)
+    for step in range(40):
+        now_s = 3.0 + 0.4 * step
+        second.take_rows(rows_of(third, now_s), asked_s=now_s, now_s=now_s)
+        first.take_rows(rows_of(third, now_s), asked_s=now_s, now_s=now_s)
+        assert first.is_acting(now_s=now_s)
+        assert not second.is_settled()
+    third.take_record(1, later, now_s=20.0)
+    for now_s in (20.0, 20.0 + LEASE_S - 0.1):
+        second.take_rows(rows_of(third, now_s), asked_s=now_s, now_s=now_s)
+        assert not second.is_settled()
+    now_s = 20.0 + LEASE_S + 0.1
+    second.take_rows(rows_of(third, now_s), asked_s=now_s, now_s=now_s)
+    assert second.is_settled()
+    assert not first.is_acting(now_s=now_s)
+
+
 def test_an_outage_of_the_log_leaves_owners_acting():
     """The log is out for an hour while the nodes hear one another.
 
     If owners needed the log to act, every request would be refused in an outage.
     """
-    first, second, third = make_pair()
+    first, second, third = make_trio()
     for now_s in (10.0, 1000.0, 3600.0):
         answers = rows_of(second, now_s) + rows_of(third, now_s)
         first.take_rows(answers, asked_s=now_s, now_s=now_s)
@@ -208,7 +233,7 @@
     If it proposed a view of itself alone, it would take every cell of the region from
     nodes that are well.
     """
-    first, second, third = make_pair()
+    first, second, third = make_trio()
     rows = rows_of(second, 1.0) + rows_of(third, 1.0)
     first.take_rows(rows, asked_s=1.0, now_s=1.0)
     assert first.propose(None, own_state="serving", now_s=10.0) is None
--- a/lycheetide/node/_owner.py
+++ b/lycheetide/node/_owner.py
@@ -305,7 +305,8 @@
         permit_id = granted.permit_id
     owned.cell.finish(permit_id)
     for name in request.broken:
-        owned.cell.take_silence(name)
+        owned.cell.take_break(name)
+        owned.proof_asked_s[name] = 0.0
     run_schedule(node, owned)
     return FinishReply()
 
--- a/lycheetide/scheduling/_cell.py
+++ b/lycheetide/scheduling/_cell.py
@@ -90,7 +90,7 @@
             ramp = known.upstream.cold_limit_requests
         else:
             ramp = min(known.upstream.warm_limit_requests, ramp * 2)
-        waiting_s = report.waiting_prefill_tokens / known.upstream.prefill_tokens_per_s
+        short_s, huge_s = self._correct_reading(known, report, asked_s)
         self.replicas[name] = replace(
             known,
             phase=CHART.step(known.phase, event),
@@ -98,17 +98,51 @@
             proved_s=asked_s,
             ramp_limit=ramp,
             report=report,
-            busy_until_s=max(known.busy_until_s, asked_s + waiting_s)
-            if waiting_s > 0
-            else min(known.busy_until_s, now_s),
+            busy_until_s=asked_s + short_s,
+            huge_until_s=asked_s + huge_s,
         )
 
+    def _correct_reading(self, replica, report, asked_s):
+        """Return how long short and huge prompts will be read, from ``asked_s`` on.
+
+        The report tells only the sum, and nothing of what was granted since; engines
+        read short prompts first, so what is unread is huge as far as short prompts
+        can't account for it.
+        """
+        name = replica.upstream.name
+        rate = replica.upstream.prefill_tokens_per_s
+        since = {True: 0.0, False: 0.0}
+        for permit in self.permits.values():
+            if permit.granted_s >= asked_s and name in permit.replicas:
+                tokens = permit.ticket.prompt_tokens / len(permit.replicas)
+                since[self._is_huge(permit.ticket)] += tokens / rate
+        unread_s = report.waiting_prefill_tokens / rate
+        expected_s = max(0.0, replica.busy_until_s - since[False] - asked_s)
+        short_s = min(expected_s, unread_s)
+        return short_s + since[False], unread_s - short_s + since[True]
+
+    def _is_huge(self, ticket):
+        """Tell whether a prompt counts as huge."""
+        return ticket.prompt_tokens >= self.policy.huge_tokens
+
     def take_silence(self, name):
-        """Note that a replica did not answer, or broke a connection."""
+        """Note that a replica did not answer."""
+        self._close(name, "went_silent")
+
+    def take_break(self, name):
+        """Note that a replica broke a connection; it may have restarted cold.
+
+        It gets nothing until its next report, which is asked for at once; requests
+        wait for that, since one broken stream is no sign that a replica is gone.
+        """
+        self._close(name, "broke")
+
+    def _close(self, name, event):
+        """Step a replica's life to where it gets no work."""
         known = self.replicas.get(name)
         if known is None:
             return
-        phase = CHART.step(known.phase, "went_silent")
+        phase = CHART.step(known.phase, event)
         ramp = known.upstream.cold_limit_requests
         self.replicas[name] = replace(known, phase=phase, ramp_limit=ramp)
 
@@ -242,43 +276,49 @@
         list of Permit
             New permits, already counted against their replicas.
         """
+        if not self.tickets:
+            return []
         running: Counter[str] = Counter()
         for permit in self.permits.values():
             running[permit.ticket.customer] += permit.ticket.total_tokens
-        draining = self._find_draining(now_s)
-        loads = self.make_loads(now_s=now_s, draining=draining)
+        by_replica = self._sort_permits()
+        loads = {load.name: load for load in self.make_loads(now_s=now_s)}
+        draining = self._find_draining(loads.values(), now_s)
+        for name in draining:
+            loads[name] = replace(loads[name], is_draining=True)
         granted = []
         for ticket in order_tickets(self.tickets.values(), running, now_s=now_s):
-            cached = self.prefixes.get(ticket.prefix_key, {}) if loads else {}
-            usable = loads if not draining else self._lift_drain(ticket, loads, now_s)
+            cached = self.prefixes.get(ticket.prefix_key, {})
+            usable = list(loads.values())
             chosen = choose_replicas(ticket, usable, self.policy, cached_tokens=cached)
             if not chosen:
                 continue
             permit = self._grant(ticket, chosen, cached, now_s)
             running[ticket.customer] += ticket.total_tokens
             granted.append(permit)
-            loads = self.make_loads(now_s=now_s, draining=draining)
+            for load in chosen:
+                by_replica[load.name].append(permit)
+                loads[load.name] = self._make_load(
+                    self.replicas[load.name],
+                    by_replica[load.name],
+                    takes_huge=load.takes_huge,
+                    is_draining=load.is_draining,
+                    now_s=now_s,
+                )
         return granted
 
-    def _find_draining(self, now_s):
+    def _find_draining(self, loads, now_s):
         """Return the replicas kept for the oldest spanning prompt that waits."""
         waiting = [
             ticket
             for ticket in self.tickets.values()
             if now_s - ticket.arrived_s > self.policy.drain_after_s
+            and count_segments(ticket, loads, self.policy) > 1
         ]
-        loads = self.make_loads(now_s=now_s)
-        for ticket in sorted(waiting, key=lambda t: (t.arrived_s, t.ticket_id)):
-            names = choose_draining(ticket, loads, self.policy)
-            if names:
-                return names
-        return frozenset()
-
-    def _lift_drain(self, ticket, loads, now_s):
-        """Let spanning prompts use the replicas that are kept for them."""
-        if count_segments(ticket, loads, self.policy) <= 1:
-            return loads
-        return [replace(load, is_draining=False) for load in loads]
+        if not waiting:
+            return frozenset()
+        oldest = min(waiting, key=lambda t: (t.arrived_s, t.ticket_id))
+        return choose_draining(oldest, loads, self.policy)
 
     def _grant(self, ticket, chosen, cached, now_s):
         """Make a permit and count it."""
@@ -295,7 +335,7 @@
             renewed_s=now_s,
         )
         self.permits[permit.permit_id] = permit
-        is_huge = ticket.prompt_tokens >= self.policy.huge_tokens
+        is_huge = self._is_huge(ticket)
         for load in chosen:
             fresh = ticket.prompt_tokens / parts - cached.get(load.name, 0)
             self._count_reading(load.name, max(0.0, fresh), is_huge, now_s)
--- a/lycheetide/scheduling/_choose.py
+++ b/lycheetide/scheduling/_choose.py
@@ -93,6 +93,7 @@
     of what they need each and wait for the other's half for ever.
     """
     part = math.ceil(ticket.total_tokens / segments)
+    # Replicas that are kept for a spanning prompt are open to it.
     fitting = [
         load
         for load in loads
@@ -110,8 +111,6 @@
 def choose_draining(ticket, loads, policy):
     """Return the replicas to keep for a spanning prompt that has waited long."""
     segments = count_segments(ticket, loads, policy)
-    if segments <= 1:
-        return frozenset()
     usable = [load for load in loads if load.name not in ticket.avoid]
     usable.sort(key=lambda load: (not load.takes_huge, -load.kv_free_tokens, load.name))
     return frozenset(load.name for load in usable[:segments])
--- a/lycheetide/scheduling/_limits.py
+++ b/lycheetide/scheduling/_limits.py
@@ -48,7 +48,11 @@
 
 def needs_proof(replica, permits):
     """Tell whether only a fresh report keeps the replica from taking more."""
-    if not replica.is_open or CHART.has(replica.phase, "closed"):
+    if not replica.is_open:
+        return False
+    if CHART.has(replica.phase, "unknown"):
+        return True
+    if CHART.has(replica.phase, "closed"):
         return False
     ahead = sum(permit.granted_s >= replica.proved_s for permit in permits)
     return ahead >= max(1, replica.upstream.cold_limit_requests - 1)
