--- /dev/null
+++ b/lycheetide/node/_booking_peers.py
@@ -0,0 +1,70 @@
+"""Answer other nodes that ask about bookings, or pass one on."""
+
+from lycheetide.bookings import parse_key
+from lycheetide.node._booking_errors import holder_gone
+from lycheetide.node._bookings import serve_booking
+from lycheetide.node._state import read_clock
+from lycheetide.outcomes import NotRun, Reason, RequestError
+from lycheetide.peers import BookingReply, BookingStatus
+from lycheetide.routing import Admitted
+
+
+async def query_booking(node, request):
+    """Tell another node what became of a key that this node holds."""
+    if request.member_id != node.own_id:
+        return BookingReply(BookingStatus.UNKNOWN)
+    run = node.bookings.get(request.key)
+    if run is None:
+        # It was given up without having been sent; the release is on its way.
+        return BookingReply(BookingStatus.NOT_RUN)
+    return make_reply(run)
+
+
+def make_reply(run):
+    """Return what is known of a run."""
+    if not run.done.is_set():
+        return BookingReply(BookingStatus.RUNNING, run.body_hash)
+    if run.answer is not None:
+        return BookingReply(
+            BookingStatus.ANSWERED, run.body_hash, run.answer.status, run.answer.body
+        )
+    return make_error_reply(run.error)
+
+
+def make_error_reply(error):
+    """Return a typed error as a reply."""
+    not_run = isinstance(error, NotRun)
+    return BookingReply(
+        BookingStatus.NOT_RUN if not_run else BookingStatus.UNKNOWN,
+        http_status=error.status,
+        reason=error.reason,
+        message=error.message,
+        retry_after_ms=int((error.retry_after_s or 0) * 1000),
+    )
+
+
+async def run_booking(node, request):
+    """Run a home key for another node."""
+    if request.member_id != node.own_id:
+        return make_error_reply(holder_gone())
+    operation = node.fleet.operations.get(f"{request.service}/{request.operation}")
+    customer = node.fleet.customers.get(request.customer)
+    request_class = node.fleet.classes.get(request.request_class)
+    if operation is None or customer is None or request_class is None:
+        error = NotRun(
+            Reason.NOT_READY, "the configuration is not known here", retry_after_s=1.0
+        )
+        return make_error_reply(error)
+    now_s = read_clock()
+    admitted = Admitted(
+        request.request_id, customer, request_class, now_s,
+        now_s + request.left_ms / 1000,
+    )  # fmt: skip
+    try:
+        key = parse_key(request.key)
+        answer = await serve_booking(node, admitted, operation, request.body, key)
+    except RequestError as error:
+        return make_error_reply(error)
+    return BookingReply(
+        BookingStatus.ANSWERED, http_status=answer.status, body=answer.body
+    )
--- a/lycheetide/node/_bookings.py
+++ b/lycheetide/node/_bookings.py
@@ -4,7 +4,6 @@
 that the answer is recorded for whoever asks again.
 """
 
-import hashlib
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -17,13 +16,19 @@
     Standing,
     decide,
     make_claim_record,
-    make_key,
     make_outcome_record,
     make_release_record,
-    parse_key,
 )
 from lycheetide.charts import load_chart
 from lycheetide.metrics import get_log
+from lycheetide.node._booking_errors import (
+    RETRY_AFTER_S,
+    holder_gone,
+    log_out,
+    other_body,
+)
+from lycheetide.node._booking_home import serve_at_home
+from lycheetide.node._booking_keys import hash_call
 from lycheetide.node._permits import Wish, get_permit, give_back
 from lycheetide.node._services import CALL_TOKENS, STALE_PAUSE_S, may_send
 from lycheetide.node._state import BOOKING_STREAM, draw_id, read_clock
@@ -36,13 +41,11 @@
 )
 from lycheetide.peers import (
     BookingQuery,
-    BookingReply,
     BookingStatus,
     PeerUnreached,
-    RunBookingRequest,
 )
 from lycheetide.platformlog import LogUnavailable
-from lycheetide.routing import Admitted, RetryDecision, decide_retry
+from lycheetide.routing import RetryDecision, decide_retry
 from lycheetide.upstreams import (
     ServiceAnswer,
     ServiceCall,
@@ -56,11 +59,8 @@
 QUERY_S = 1.0
 RELEASE_TRIES = 600
 RECORD_TRIES = 3_000
-LARGEST_HOME_KEYS = 100_000
 LARGEST_KEPT = 20_000
 FORGOTTEN_AT_ONCE = 1_000
-RETRY_AFTER_S = 1.0
-NEW_KEY_HINT = "POST /v1/keys gives a key that runs without the log"
 
 log = get_log("booking")
 
@@ -111,66 +111,6 @@
         self.life = CHART.step(self.life, event)
 
 
-def issue_key(node, customer, *, now_s):
-    """Issue a key: one that is claimed on the log, or, in an outage, a home key.
-
-    Raises
-    ------
-    NotRun
-        If this node remembers too many home keys already.
-    """
-    log_reached = now_s - node.log_asked_s <= node.settings.lease_s
-    mode = KeyMode.CLAIMED if log_reached else KeyMode.HOME
-    if mode is KeyMode.HOME:
-        if node.issued_home_keys >= LARGEST_HOME_KEYS:
-            raise NotRun(
-                Reason.NO_CAPACITY, "too many keys were issued", retry_after_s=30.0
-            )
-        node.issued_home_keys += 1
-    node.counters.add(f"keys.{mode.name.lower()}")
-    return make_key(
-        mode=mode,
-        birth_offset=node.booking_writer.next_offset,
-        issuer_id=node.own_id,
-        customer=customer.name,
-    )
-
-
-def read_key(text, customer):
-    """Read a caller's key.
-
-    Raises
-    ------
-    NotRun
-        If there is none, or it is not this customer's.
-    """
-    if not text:
-        raise NotRun(
-            Reason.KEY_MISSING,
-            "expected an Idempotency-Key from POST /v1/keys",
-            status=400,
-        )
-    try:
-        key = parse_key(text)
-    except ValueError as error:
-        raise NotRun(
-            Reason.KEY_MALFORMED, f"got {text[:80]!r}, expected {error}", status=400
-        ) from None
-    if key.customer != customer.name:
-        raise NotRun(
-            Reason.KEY_MALFORMED, "the key was issued to another customer", status=403
-        )
-    return key
-
-
-def hash_call(operation, body):
-    """Return the hash by which a key used for another body is found out."""
-    digest = hashlib.sha256(operation.entry_name.encode())
-    digest.update(b"\0")
-    digest.update(body)
-    return digest.hexdigest()
-
-
 async def serve_booking(node, admitted, operation, body, key):
     """Serve a call that runs once at most, however often it is asked for.
 
@@ -199,13 +139,13 @@
     """
     is_home = key.mode is KeyMode.HOME
     if is_home and key.issuer_id != node.own_id:
-        return await _serve_at_home(node, admitted, operation, body, key)
+        return await serve_at_home(node, admitted, operation, body, key)
     run = node.bookings.get(key.text)
     body_hash = hash_call(operation, body)
     if run is None or _may_restart(run):
         run = _start(node, admitted, operation, body, key, body_hash)
     elif run.body_hash != body_hash:
-        raise _other_body()
+        raise other_body()
     return await _wait(node, run, admitted)
 
 
@@ -214,11 +154,6 @@
     return run.done.is_set() and isinstance(run.error, NotRun)
 
 
-def _other_body():
-    """Return the error for a key that was used with another body."""
-    return NotRun(Reason.KEY_REUSED, "the key was used with another body", status=422)
-
-
 def _start(node, admitted, operation, body, key, body_hash):
     """Begin to run a key; the run outlives its callers."""
     claim = Claim(draw_id(), key.text, node.own_id, body_hash)
@@ -256,7 +191,7 @@
             Reason.DEADLINE, "the deadline has passed", retry_after_s=RETRY_AFTER_S
         )
     if run.life == "new":
-        return _log_out()
+        return log_out()
     return OutcomeUnknown(
         Reason.DEADLINE,
         "the service has not answered in time; ask again with the same key",
@@ -331,7 +266,7 @@
             )
         if standing is Standing.OTHER_BODY:
             run.step("lost")
-            raise _other_body()
+            raise other_body()
         if standing is Standing.ELSEWHERE:
             await _follow_holder(node, run, decision.holder_id)
             if run.answer is not None:
@@ -347,22 +282,12 @@
         return
     run.abandoned = True
     if run.life == "new":
-        raise _log_out()
+        raise log_out()
     raise NotRun(
         Reason.DEADLINE, "the deadline has passed", retry_after_s=RETRY_AFTER_S
     )
 
 
-def _log_out():
-    """Return the error for a key of which the log could not tell in time."""
-    return OutcomeUnknown(
-        Reason.LOG_UNAVAILABLE,
-        "this node has sent nothing, but can't read whether another one ran the key; "
-        f"ask again with the same key. For new work, {NEW_KEY_HINT}",
-        retry_after_s=RETRY_AFTER_S,
-    )
-
-
 async def _read_standing(node, run):
     """Append the claim and read the key's records; None if the log is out.
 
@@ -399,7 +324,7 @@
         member = known.row.member if known is not None else None
     if member is None:
         run.step("lost")
-        raise _holder_gone()
+        raise holder_gone()
     try:
         reply = await node.peers.call(
             member.peer_address,
@@ -415,16 +340,7 @@
         run.answer = ServiceAnswer(reply.http_status, reply.body)
     elif reply.status is BookingStatus.UNKNOWN:
         run.step("lost")
-        raise _holder_gone()
-
-
-def _holder_gone():
-    """Return the error for a key whose holder can't tell what became of it."""
-    return OutcomeUnknown(
-        Reason.KEY_HOME_LOST,
-        "the node that ran this key is gone; whether it ran is not known",
-        status=504,
-    )
+        raise holder_gone()
 
 
 async def _dispatch(node, run, operation, body, fencing_number):
@@ -531,135 +447,3 @@
             return
         except LogUnavailable:
             await anyio.sleep(LOG_RETRY_S)
-
-
-async def _serve_at_home(node, admitted, operation, body, key):
-    """Have the node that issued a home key run it; no other ever may."""
-    member = node.membership.view.find(key.issuer_id)
-    if member is None:
-        known = node.membership.evidence.get(key.issuer_id)
-        member = known.row.member if known is not None else None
-    while member is not None and read_clock() < admitted.deadline_s:
-        try:
-            reply = await _call_home(node, member, admitted, operation, body, key)
-        except PeerUnreached:
-            node.counters.add("bookings.home_unreached")
-            await anyio.sleep(POLL_S)
-            if node.membership.view.find(key.issuer_id) is None:
-                break
-            continue
-        return read_reply(reply)
-    return await _find_recorded(node, key, hash_call(operation, body))
-
-
-async def _call_home(node, member, admitted, operation, body, key):
-    """Pass the call to the key's issuer."""
-    left_s = max(0.001, admitted.deadline_s - read_clock())
-    request = RunBookingRequest(
-        member_id=key.issuer_id,
-        key=key.text,
-        customer=admitted.customer.name,
-        service=operation.service,
-        operation=operation.name,
-        request_class=admitted.request_class.name,
-        request_id=admitted.request_id,
-        body=body,
-        left_ms=int(left_s * 1000),
-    )
-    return await node.peers.call(
-        member.peer_address, "run_booking", request, timeout_s=left_s + QUERY_S
-    )
-
-
-async def _find_recorded(node, key, body_hash):
-    """Look for the answer on the log; a home key without one stays unknown."""
-    claim = Claim("", key.text, "", body_hash)
-    try:
-        batch = await node.log.read_all(BOOKING_STREAM, key.birth_offset)
-    except LogUnavailable:
-        raise _holder_gone() from None
-    decision = decide(
-        batch.records,
-        claim,
-        birth_offset=key.birth_offset,
-        first_retained=batch.first_retained,
-    )
-    if decision.standing is Standing.RECORDED:
-        return ServiceAnswer(decision.outcome.status, decision.outcome.body)
-    if decision.standing is Standing.OTHER_BODY:
-        raise _other_body()
-    raise _holder_gone()
-
-
-def read_reply(reply):
-    """Turn another node's reply into an answer, or raise its error."""
-    if reply.status is BookingStatus.ANSWERED:
-        return ServiceAnswer(reply.http_status, reply.body)
-    error_type = NotRun if reply.status is BookingStatus.NOT_RUN else OutcomeUnknown
-    raise error_type(
-        Reason(reply.reason),
-        reply.message,
-        retry_after_s=reply.retry_after_ms / 1000 or None,
-        status=reply.http_status or 503,
-    )
-
-
-async def query_booking(node, request):
-    """Tell another node what became of a key that this node holds."""
-    if request.member_id != node.own_id:
-        return BookingReply(BookingStatus.UNKNOWN)
-    run = node.bookings.get(request.key)
-    if run is None:
-        # It was given up without having been sent; the release is on its way.
-        return BookingReply(BookingStatus.NOT_RUN)
-    return make_reply(run)
-
-
-def make_reply(run):
-    """Return what is known of a run."""
-    if not run.done.is_set():
-        return BookingReply(BookingStatus.RUNNING, run.body_hash)
-    if run.answer is not None:
-        return BookingReply(
-            BookingStatus.ANSWERED, run.body_hash, run.answer.status, run.answer.body
-        )
-    return make_error_reply(run.error)
-
-
-def make_error_reply(error):
-    """Return a typed error as a reply."""
-    not_run = isinstance(error, NotRun)
-    return BookingReply(
-        BookingStatus.NOT_RUN if not_run else BookingStatus.UNKNOWN,
-        http_status=error.status,
-        reason=error.reason,
-        message=error.message,
-        retry_after_ms=int((error.retry_after_s or 0) * 1000),
-    )
-
-
-async def run_booking(node, request):
-    """Run a home key for another node."""
-    if request.member_id != node.own_id:
-        return make_error_reply(_holder_gone())
-    operation = node.fleet.operations.get(f"{request.service}/{request.operation}")
-    customer = node.fleet.customers.get(request.customer)
-    request_class = node.fleet.classes.get(request.request_class)
-    if operation is None or customer is None or request_class is None:
-        error = NotRun(
-            Reason.NOT_READY, "the configuration is not known here", retry_after_s=1.0
-        )
-        return make_error_reply(error)
-    now_s = read_clock()
-    admitted = Admitted(
-        request.request_id, customer, request_class, now_s,
-        now_s + request.left_ms / 1000,
-    )  # fmt: skip
-    try:
-        key = parse_key(request.key)
-        answer = await serve_booking(node, admitted, operation, request.body, key)
-    except RequestError as error:
-        return make_error_reply(error)
-    return BookingReply(
-        BookingStatus.ANSWERED, http_status=answer.status, body=answer.body
-    )
--- a/lycheetide/node/_door.py
+++ b/lycheetide/node/_door.py
@@ -9,7 +9,8 @@
 from starlette.routing import Route
 
 from lycheetide.metrics import get_log
-from lycheetide.node._bookings import issue_key, read_key, serve_booking
+from lycheetide.node._booking_keys import issue_key, read_key
+from lycheetide.node._bookings import serve_booking
 from lycheetide.node._prompts import Prompt, Token, serve_prompt, to_request_error
 from lycheetide.node._services import serve_lookup
 from lycheetide.node._state import draw_id, read_clock
--- a/lycheetide/node/_run.py
+++ b/lycheetide/node/_run.py
@@ -9,7 +9,7 @@
 from hypercorn.config import Config
 
 from lycheetide.metrics import get_log
-from lycheetide.node import _bookings, _owner
+from lycheetide.node import _booking_peers, _owner
 from lycheetide.node._door import Door
 from lycheetide.node._guard import GuardedTasks, keep_running
 from lycheetide.node._members import give_rows, propose_views, pull_peers
@@ -133,8 +133,8 @@
         "finish": bind(_owner.finish),
         "hand_over": bind(_owner.hand_over),
         "fetch_config": give_config(node),
-        "query_booking": bind(_bookings.query_booking),
-        "run_booking": bind(_bookings.run_booking),
+        "query_booking": bind(_booking_peers.query_booking),
+        "run_booking": bind(_booking_peers.run_booking),
     }
 
 
--- a/lycheetide/upstreams/__init__.py
+++ b/lycheetide/upstreams/__init__.py
@@ -7,7 +7,6 @@
     fetch_report,
     release_holding,
     reserve_memory,
-    send_order,
     send_segment,
     stream_answer,
 )
@@ -35,7 +34,6 @@
     "make_http_client",
     "release_holding",
     "reserve_memory",
-    "send_order",
     "send_segment",
     "stream_answer",
 ]
--- a/lycheetide/upstreams/_engine.py
+++ b/lycheetide/upstreams/_engine.py
@@ -130,12 +130,6 @@
     return answer["handle"]
 
 
-async def send_order(http, upstream, *, order, fencing_number):
-    """Send an order to load something or to change role."""
-    body = {"order": order, "fencing_number": fencing_number}
-    return await _post(http, f"{upstream.url}/orders", body)
-
-
 async def stream_answer(http, upstream, call, *, first_s, between_s, on_accepted):
     """Send a prompt and yield the answer's chunks.
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -31,7 +31,6 @@
     decode_s: float = 0.01
     cold_limit: int = 2
     cold_s: float = 0.0
-    checks_fencing: bool = False
     report_lag_s: float = 0.2
 
 
@@ -73,7 +72,6 @@
         self.prefills = []
         self.order = itertools.count()
         self.cached_prefixes = {}
-        self.fencing_number = 0
         self.faults = {}
         self.record = []
         self.in_flight = 0
@@ -288,14 +286,6 @@
         engine.free(body["holding_id"])
         return JSONResponse({})
 
-    async def order(request):
-        body = await request.json()
-        number = body["fencing_number"]
-        if settings.checks_fencing and number < engine.fencing_number:
-            return JSONResponse({"error": "old fencing number"}, 409)
-        engine.fencing_number = max(number, engine.fencing_number)
-        return JSONResponse({"fencing_number": engine.fencing_number})
-
     async def faults(request):
         body = await request.json()
         if body.pop("turn_cold", None):
@@ -329,7 +319,6 @@
             Route("/segment", segment, methods=["POST"]),
             Route("/held", held),
             Route("/release", release, methods=["POST"]),
-            Route("/orders", order, methods=["POST"]),
             Route("/faults", faults, methods=["POST"]),
             Route("/record", record),
         ],
--- a/standins/local.py
+++ b/standins/local.py
@@ -136,7 +136,7 @@
         return self._start(name, arguments, url=f"http://{address}")
 
     def start_platform(self, **options):
-        """Start the log, the host list and the weight store."""
+        """Start the log and the host list."""
         self.platform = self._start_standin("platform", "platform", options)
         self.wait_url(f"{self.platform.url}/record")
         return self.platform
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,4 +1,4 @@
-"""A stand-in platform: the log service, the host list and the weight store."""
+"""A stand-in platform: the log service and the host list."""
 
 import time
 from collections import defaultdict
@@ -51,12 +51,11 @@
         self.first_retained[stream] = first + drop
 
 
-def make_app(*, host_list_lag_s=1.0, weight_reads_per_s=5.0):
+def make_app(*, host_list_lag_s=1.0):
     """Return the platform's application."""
     log = Log()
     faults = {}
     host_changes = []
-    weight_reads = []
 
     async def misbehave():
         await anyio.sleep(faults.get("slow_s", 0.0))
@@ -113,14 +112,6 @@
         host_changes.append((at_s, rows))
         return JSONResponse({})
 
-    async def weights(request):
-        now_s = time.monotonic()
-        weight_reads[:] = [at_s for at_s in weight_reads if at_s > now_s - 1]
-        if len(weight_reads) >= weight_reads_per_s:
-            return JSONResponse({"error": "rate limit"}, 429, {"retry-after": "1"})
-        weight_reads.append(now_s)
-        return JSONResponse({"name": request.path_params["name"]})
-
     async def set_faults(request):
         faults.update(await request.json())
         log.changed.set()
@@ -138,7 +129,6 @@
             Route("/retain", retain, methods=["POST"]),
             Route("/hosts", hosts),
             Route("/hosts", set_hosts, methods=["POST"]),
-            Route("/weights/{name}", weights),
             Route("/faults", set_faults, methods=["POST"]),
             Route("/record", record),
         ]
