Keep a stopping node until its bookings are on the log; prove silent idle restarts

Cause: a node told to stop in an outage of the log went as soon as its callers had their answers, and the keys that it had run stayed unknown for ever. And no process test could fail when the limit ahead of proof was taken away: under load broken streams tell of a restart, and the stand-in engine refused requests meant for another boot. Change: stopping waits for pending bookings; a burst on engines that restarted idle; the stand-in takes what it gets, and requests no longer name a boot id. Ruled out: the patience for hand-overs, which had kept the node alive by chance in a shorter form of the test.

--- a/lycheetide/node/_bookings.py
+++ b/lycheetide/node/_bookings.py
@@ -229,6 +229,17 @@
         _forget_recorded(node)
 
 
+def has_pending(node):
+    """Tell whether some booking still runs, or its answer is not on the log yet.
+
+    A node that stopped now would leave such a key unknown for ever.
+    """
+    return any(
+        not run.done.is_set() or (run.life == "recorded" and not run.is_recorded)
+        for run in node.bookings.values()
+    )
+
+
 def _forget_recorded(node):
     """Forget the oldest claimed keys whose answers stand on the log."""
     if len(node.bookings) <= LARGEST_KEPT:
--- a/lycheetide/node/_prompts.py
+++ b/lycheetide/node/_prompts.py
@@ -280,7 +280,6 @@
             admitted.customer.name, run.prompt.model, run.prompt.text
         ),
         resume_from=run.check.next_seq,
-        expected_boot_id=permit.boot_ids[-1],
         holding_id=holding_id,
         segments=segments,
     )
--- a/lycheetide/node/_run.py
+++ b/lycheetide/node/_run.py
@@ -10,6 +10,7 @@
 
 from lycheetide.metrics import get_log
 from lycheetide.node import _booking_peers, _owner
+from lycheetide.node._bookings import has_pending
 from lycheetide.node._door import Door
 from lycheetide.node._guard import GuardedTasks, keep_running
 from lycheetide.node._members import give_rows, propose_views, pull_peers
@@ -204,7 +205,8 @@
     while read_clock() - begun_s < settings.stop_longest_s:
         now_s = read_clock()
         noticed = now_s - begun_s >= settings.stop_notice_s
-        if noticed and not node.active and _has_handed_over(node, now_s - begun_s):
+        is_idle = not node.active and not has_pending(node)
+        if noticed and is_idle and _has_handed_over(node, now_s - begun_s):
             break
         await anyio.sleep(STOP_TICK_S)
     node.step("drained")
--- a/lycheetide/node/tests/test_cold.py
+++ b/lycheetide/node/tests/test_cold.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lycheetide.node.tests.test_domains import keep_asking
+from standins.callers import ask_prompt
 from standins.local import LocalFleet, make_forge_works
 from standins.promises import find_broken, wait_memory_free
 
@@ -56,6 +57,31 @@
     wait_memory_free(fleet)
 
 
+def test_idle_engines_restart_and_a_burst_comes_before_any_report(cold_fleet):
+    """Engines restart while nothing runs there, so no broken stream tells of it.
+
+    Eighty requests come through nine nodes before the next load report is due.
+    """
+    fleet = cold_fleet
+    nodes = list(fleet.nodes.values())
+    with ThreadPoolExecutor(80) as pool:
+        for job in keep_asking(fleet, pool, 2.5):
+            job.result()
+        time.sleep(1.0)
+        for name in fleet.engines:
+            fleet.set_faults(name, turn_cold=True)
+        jobs = [
+            pool.submit(
+                ask_prompt, nodes[i % 9], 1_000, seed=i, max_tokens=3, deadline_s=15.0
+            )
+            for i in range(80)
+        ]
+        answers = [job.result() for job in jobs]
+    assert find_fallen(fleet) == {}
+    assert find_broken(fleet, answers, deadline_s=15.0) == []
+    assert {answer.outcome for answer in answers} == {"answered"}
+
+
 def test_engines_turn_cold_while_their_owner_is_frozen_or_killed(cold_fleet):
     """The owner of the engines is frozen, then another one killed; engines restart.
 
--- a/lycheetide/node/tests/test_stop.py
+++ b/lycheetide/node/tests/test_stop.py
@@ -5,8 +5,9 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
+from lycheetide.node._run import HAND_OVER_PATIENCE_S
 from lycheetide.node.tests.test_domains import keep_asking
-from standins.callers import ask_prompt
+from standins.callers import ask_prompt, book, count_runs, get_key
 from standins.promises import find_broken, wait_memory_free
 
 STOP_S = 60.0
@@ -60,6 +61,28 @@
     wait_memory_free(fleet)
 
 
+def test_a_node_that_stops_in_an_outage_records_its_bookings_first(own_fleet):
+    """A node books during an outage of the log and is told to stop before its end.
+
+    Had it gone at once, nobody could ever tell the buyer whether the booking ran.
+    """
+    fleet = own_fleet
+    first, second, _ = fleet.nodes.values()
+    fleet.set_faults("platform", down=True)
+    time.sleep(2.5)
+    key = get_key(first)
+    booked = book(first, key)
+    first.signal(signal.SIGTERM)
+    time.sleep(HAND_OVER_PATIENCE_S + 3.0)
+    assert first.is_running()
+    fleet.set_faults("platform", down=False)
+    first.popen.wait(STOP_S)
+    again = book(second, key, deadline_s=10.0)
+    assert (booked.status, again.status) == (200, 200)
+    assert again.body == booked.body
+    assert count_runs(fleet, key) == 1
+
+
 def test_all_nodes_are_replaced_one_by_one_under_load(own_fleet):
     """Operators replace every host, each by a new one, while callers keep asking."""
     fleet = own_fleet
--- a/lycheetide/upstreams/_engine.py
+++ b/lycheetide/upstreams/_engine.py
@@ -33,8 +33,6 @@
         time to the first token tells nobody what a rival has asked.
     resume_from : int
         The first token that is still wanted.
-    expected_boot_id : str
-        The engine's life that the permit was given for.
     holding_id : str or None
         Memory reserved before.
     segments : tuple of str
@@ -48,7 +46,6 @@
     priority: int
     prefix_key: str
     resume_from: int
-    expected_boot_id: str
     holding_id: str | None = None
     segments: tuple[str, ...] = ()
 
