--- /dev/null
+++ b/lycheetide/board/__init__.py
@@ -0,0 +1,32 @@
+"""What all nodes have sent to the replicas, as far as each one knows.
+
+Every node tells its peers of each request that it places and of its end, in single
+datagrams. Placing rests on that; safety doesn't: a lost datagram costs a little time.
+"""
+
+from lycheetide.board._board import Board, Job, Part
+from lycheetide.board._messages import (
+    Ended,
+    Hello,
+    Message,
+    Started,
+    Suspected,
+    decode_message,
+    encode_message,
+)
+from lycheetide.board._peers import Peer, Peers
+
+__all__ = [
+    "Board",
+    "Ended",
+    "Hello",
+    "Job",
+    "Message",
+    "Part",
+    "Peer",
+    "Peers",
+    "Started",
+    "Suspected",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/lycheetide/board/_messages.py
@@ -0,0 +1,119 @@
+"""The datagrams between nodes."""
+
+import msgspec
+
+LARGEST_BYTES = 1_400
+"""Fits one Ethernet frame, so a datagram is whole or lost."""
+
+
+class Part(msgspec.Struct, frozen=True, array_like=True):
+    """The part of one request that one replica does.
+
+    Parameters
+    ----------
+    replica : str
+        Which.
+    read_s : float
+        Its reading at full speed.
+    kv_tokens : int
+        Memory that the request takes there.
+    writes : bool
+        Whether it writes the answer.
+    """
+
+    replica: str
+    read_s: float
+    kv_tokens: int = 0
+    writes: bool = True
+
+
+class Started(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    """A node has sent a request.
+
+    Parameters
+    ----------
+    node, job : str
+        Who, and its name for this attempt.
+    parts : tuple of Part
+        What it costs where.
+    lasts_s : float
+        When it has surely ended, from now.
+    """
+
+    node: str
+    job: str
+    parts: tuple[Part, ...]
+    lasts_s: float
+
+
+class Ended(msgspec.Struct, frozen=True, array_like=True, tag="e"):
+    """A request has ended, whatever came of it."""
+
+    node: str
+    job: str
+
+
+class Suspected(msgspec.Struct, frozen=True, array_like=True, tag="x"):
+    """A node has waited in vain for a replica, or had a connection refused."""
+
+    node: str
+    replica: str
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
+    """A node is alive.
+
+    Parameters
+    ----------
+    node : str
+        Its name and start, never used twice.
+    address : str
+        Where it takes datagrams and calls of peers.
+    failure_domain : str
+        Where it stands.
+    operator_offset, registry_offset : int
+        How much it knows of what operators and replicas wrote; -1 for nothing.
+    registry_age_s : float
+        How old its knowledge of the registry is.
+    heard : tuple of str
+        Replicas that it had answers from since its last hello.
+    wants_reply : bool
+        Whether it knows few peers and asks for theirs.
+    is_leaving : bool
+        Whether it is about to stop.
+    peers : tuple of str
+        Addresses of other nodes, in a reply.
+    """
+
+    node: str
+    address: str
+    failure_domain: str
+    operator_offset: int
+    registry_offset: int
+    registry_age_s: float
+    heard: tuple[str, ...] = ()
+    wants_reply: bool = False
+    is_leaving: bool = False
+    peers: tuple[str, ...] = ()
+
+
+Message = Started | Ended | Suspected | Hello
+
+_decoder = msgspec.msgpack.Decoder(Message)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_message(message: Message) -> bytes:
+    """Return a datagram."""
+    return _encoder.encode(message)
+
+
+def decode_message(data: bytes) -> Message:
+    """Return what a datagram says.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If it is none of ours.
+    """
+    return _decoder.decode(data)
--- /dev/null
+++ b/lycheetide/board/_peers.py
@@ -0,0 +1,94 @@
+"""The other nodes, as far as they were heard from."""
+
+from dataclasses import dataclass
+
+SILENT_S = 3.0
+"""A peer that said nothing for so long is left out of shares and messages' targets."""
+FORGET_S = 30.0
+"""A peer that said nothing for so long is no longer greeted."""
+
+
+@dataclass(frozen=True)
+class Peer:
+    """Another node.
+
+    Parameters
+    ----------
+    node : str
+        Its name and start; empty until it was heard from.
+    address : str
+        Where it takes datagrams and calls.
+    failure_domain : str
+        Where it stands.
+    heard_s : float
+        When it was last heard.
+    operator_offset, registry_offset : int
+        What it knew then.
+    registry_read_s : float
+        When its knowledge of the registry was fresh, on this node's clock.
+    is_leaving : bool
+        Whether it is about to stop.
+    """
+
+    node: str
+    address: str
+    failure_domain: str = ""
+    heard_s: float = float("-inf")
+    operator_offset: int = -1
+    registry_offset: int = -1
+    registry_read_s: float = float("-inf")
+    is_leaving: bool = False
+
+
+class Peers:
+    """The peers by address.
+
+    Parameters
+    ----------
+    own_address : str
+        This node's own, which is never a peer.
+    """
+
+    def __init__(self, own_address):
+        self.own_address = own_address
+        self.peers: dict[str, Peer] = {}
+        self._greeted_s: dict[str, float] = {}
+
+    def learn(self, address, *, now_s):
+        """Note an address where a node may be."""
+        if address == self.own_address or address in self.peers:
+            return
+        self.peers[address] = Peer("", address)
+        self._greeted_s[address] = now_s
+
+    def hear(self, hello, *, now_s):
+        """Note a peer's greeting; tell whether it is a new start of a node."""
+        known = self.peers.get(hello.address)
+        self.peers[hello.address] = Peer(
+            node=hello.node,
+            address=hello.address,
+            failure_domain=hello.failure_domain,
+            heard_s=now_s,
+            operator_offset=hello.operator_offset,
+            registry_offset=hello.registry_offset,
+            registry_read_s=now_s - hello.registry_age_s,
+            is_leaving=hello.is_leaving,
+        )
+        return known is None or known.node != hello.node
+
+    def alive(self, *, now_s):
+        """Return the peers that were heard lately."""
+        return [peer for peer in self.peers.values() if now_s - peer.heard_s < SILENT_S]
+
+    def targets(self, *, now_s):
+        """Return the addresses to greet: peers that live or may come back."""
+        for address, peer in list(self.peers.items()):
+            since_s = max(peer.heard_s, self._greeted_s.get(address, now_s))
+            if now_s - since_s > FORGET_S:
+                del self.peers[address]
+                self._greeted_s.pop(address, None)
+        return list(self.peers)
+
+    def most_lately(self, window_s, *, now_s):
+        """Return how many peers were heard within a window."""
+        return sum(1 for peer in self.peers.values() if now_s - peer.heard_s < window_s)
--- a/lycheetide/cli/_config.py
+++ b/lycheetide/cli/_config.py
@@ -9,7 +9,6 @@
 
 import anyio
 import cappa
-import httpx
 
 from lycheetide.cli._output import (
     EXIT_FAULTS,
@@ -20,12 +19,9 @@
 )
 from lycheetide.fleet import check_document, make_change_record, restore
 from lycheetide.fleet._check import place_lines
-from lycheetide.node._state import CONFIG_STREAM
-from lycheetide.platformlog import LogClient, LogUnavailable
 from lycheetide.settings import SettingsError
 
 VERDICT_S = 20.0
-APPEND_TRIES = 5
 POLL_S = 0.1
 
 NodeAddress = Annotated[
@@ -124,6 +120,8 @@
 
     def __call__(self):
         """Publish and wait."""
+        from lycheetide.cli._publish import append_record
+
         fleet = load_document(self.file)
         present = fetch(self.node, "/config")
         state = restore(present["snapshot"])
@@ -145,26 +143,6 @@
         print(f"accepted: {len(changes)} entries changed, record {record_id}")
 
 
-async def append_record(log_url, record):
-    """Append a record; an append without an answer is repeated with the same id.
-
-    The fold takes the first one and refuses the second, which changes nothing.
-    """
-    async with httpx.AsyncClient(trust_env=False) as http:
-        log = LogClient(http, log_url)
-        for _ in range(APPEND_TRIES):
-            try:
-                return await log.append(CONFIG_STREAM, [record])
-            except LogUnavailable as error:
-                cause = error
-                await anyio.sleep(POLL_S)
-    raise cappa.Exit(
-        f"the log gives no answer ({cause}); record {record['id']} may stand on it: "
-        "look with 'lycheetide config show' before publishing again",
-        code=EXIT_UNREACHED,
-    )
-
-
 def wait_for_verdict(node, record_id):
     """Wait until a node has folded a record and return its verdict."""
     begun_s = time.monotonic()
--- a/lycheetide/cli/_main.py
+++ b/lycheetide/cli/_main.py
@@ -16,16 +16,8 @@
 from lycheetide._version import __version__
 from lycheetide.cli._config import ConfigCommand, NodeAddress, load_document
 from lycheetide.cli._output import EXIT_FAULTS, fetch, print_findings
-from lycheetide.load import (
-    make_report,
-    plan_requests,
-    print_table,
-    run_load,
-    save_plot,
-)
 from lycheetide.metrics import set_up_logs
-from lycheetide.node import CannotListen, run_node
-from lycheetide.settings import read_settings
+from lycheetide.settings import RelaySettings, read_settings
 
 
 def load_settings(path):
@@ -59,6 +51,25 @@
     def __call__(self):
         """Run until SIGTERM."""
         settings = load_settings(self.settings)
+        if isinstance(settings, RelaySettings):
+            self._run_relay(settings)
+            return
+        self._run_own(settings)
+
+    @staticmethod
+    def _run_relay(settings):
+        """Run in front of replicas that register themselves on a platform."""
+        from lycheetide import platform
+        from lycheetide.relay import run_relay
+
+        set_up_logs(level=settings.log_level, node=settings.name)
+        anyio.run(run_relay, settings, platform)
+
+    @staticmethod
+    def _run_own(settings):
+        """Run in front of the product's own engines."""
+        from lycheetide.node import CannotListen, run_node
+
         set_up_logs(level=settings.log_level, node=settings.name)
         try:
             anyio.run(run_node, settings)
@@ -223,6 +234,14 @@
 
     def __call__(self):
         """Send, wait and report."""
+        from lycheetide.load import (
+            make_report,
+            plan_requests,
+            print_table,
+            run_load,
+            save_plot,
+        )
+
         short_class, huge_class = self.classes or ("quote", "archive")
         plan = plan_requests(
             self.requests,
--- a/lycheetide/cli/_output.py
+++ b/lycheetide/cli/_output.py
@@ -3,7 +3,6 @@
 import sys
 
 import cappa
-import httpx
 
 EXIT_UNREACHED = 1
 EXIT_FAULTS = 2
@@ -20,6 +19,8 @@
 
 def fetch(address, path):
     """Return a node's decoded answer at its operator address, or exit."""
+    import httpx
+
     try:
         response = httpx.get(f"http://{address}{path}", timeout=CALL_S, trust_env=False)
         body = response.json()
--- a/lycheetide/metrics/__init__.py
+++ b/lycheetide/metrics/__init__.py
@@ -2,6 +2,7 @@
 
 from lycheetide.metrics._counters import Counters, make_statsd
 from lycheetide.metrics._explain import Explanations, Step
+from lycheetide.metrics._exposition import make_metrics_app
 from lycheetide.metrics._logs import PARTS, get_log, set_up_logs
 
 __all__ = [
@@ -10,6 +11,7 @@
     "Explanations",
     "Step",
     "get_log",
+    "make_metrics_app",
     "make_statsd",
     "set_up_logs",
 ]
--- a/lycheetide/metrics/_logs.py
+++ b/lycheetide/metrics/_logs.py
@@ -14,6 +14,7 @@
     "member": "Member: ",
     "config": "Config: ",
     "reclaim": "Reclaim: ",
+    "relay": "Relay: ",
 }
 
 
--- a/lycheetide/node/_run.py
+++ b/lycheetide/node/_run.py
@@ -12,7 +12,6 @@
 from lycheetide.node import _booking_peers, _owner
 from lycheetide.node._bookings import has_pending
 from lycheetide.node._door import Door
-from lycheetide.node._guard import GuardedTasks, keep_running
 from lycheetide.node._members import give_rows, propose_views, pull_peers
 from lycheetide.node._operator import make_operator_app
 from lycheetide.node._owner import keep_cells, sync_cells
@@ -29,6 +28,7 @@
 )
 from lycheetide.node._watch import poll_reports, prove_replicas, reclaim_memory
 from lycheetide.peers import make_server
+from lycheetide.tasks import GuardedTasks, keep_running
 
 LIFE_TICK_S = 0.1
 STOP_TICK_S = 0.1
--- /dev/null
+++ b/lycheetide/placement/__init__.py
@@ -0,0 +1,39 @@
+"""Where a request goes: pure functions of what is known and of the time."""
+
+from lycheetide.placement._choose import (
+    SHORT_READ_S,
+    Candidate,
+    Placement,
+    Size,
+    choose_plain,
+    choose_prompt,
+    rank_replicas,
+)
+from lycheetide.placement._cold import cold_allowance, may_send_to_cold
+from lycheetide.placement._estimate import (
+    answer_s,
+    first_event_s,
+    pass_s,
+    read_s,
+)
+from lycheetide.placement._retries import RetryWindow
+from lycheetide.placement._tickets import TicketShare, share_memory
+
+__all__ = [
+    "SHORT_READ_S",
+    "Candidate",
+    "Placement",
+    "RetryWindow",
+    "Size",
+    "TicketShare",
+    "answer_s",
+    "choose_plain",
+    "choose_prompt",
+    "cold_allowance",
+    "first_event_s",
+    "may_send_to_cold",
+    "pass_s",
+    "rank_replicas",
+    "read_s",
+    "share_memory",
+]
--- /dev/null
+++ b/lycheetide/placement/_choose.py
@@ -0,0 +1,260 @@
+"""Choose the replicas for one request.
+
+Short prompts are packed onto few replicas, and long ones are spread in small parts
+over the others. Many writing requests on one replica hardly slow one another, while
+a long prompt that is read beside them stretches each one's pause between events.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from lycheetide.placement._estimate import first_event_s, pass_s, read_s
+from lycheetide.routes import Engine
+
+SHORT_READ_S = 0.06
+"""Prompts that are read within this time count as short.
+
+Beside a pass of about 50 ms it leaves pauses under half of the 250 ms that users of
+short prompts notice.
+"""
+PART_READ_S = 0.06
+"""The reading of one part of a long prompt that is aimed at; as above."""
+HELPERS_MOST = 16
+"""What a replica accepts in one request."""
+HELPER_COST_S = 0.003
+"""What each further part has to save, since it disturbs one more replica."""
+SHORT_WRITERS_MOST = 6
+"""Short requests that are packed onto one replica before the next one is used."""
+SHORT_BACKLOG_S = 0.05
+"""Reading ahead of a short prompt up to which packing goes on."""
+DISTURBED_COST_S = 0.03
+"""What a part of a long prompt has to save for each short request it disturbs."""
+FULL_COST_S = 1.0
+"""What it costs to wait for a slot: about the rest of a short answer."""
+OTHER_DOMAIN_COST_S = 0.002
+"""A round trip between failure domains."""
+RECOVERING_COST_S = 0.15
+"""For a replica that was silent: others first while they are quick."""
+NEW_COST_S = 0.05
+"""For a replica that has just started, which is slow for some seconds."""
+
+
+@dataclass(frozen=True)
+class Size:
+    """What a request asks of a replica; zeros for one without a prompt."""
+
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+
+    @property
+    def tokens(self):
+        """All tokens that it may take."""
+        return self.prompt_tokens + self.answer_tokens
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A replica that may take work, and what is known of its load.
+
+    Parameters
+    ----------
+    id, address : str
+        Which it is.
+    rank : int
+        Its place in an order that is the same at all nodes.
+    slots : int
+        Requests it processes at once.
+    writers, short_writers, helping : int
+        What is sent there and hasn't ended.
+    backlog_s : float
+        Reading that was sent there and isn't done.
+    kv_tokens : int
+        Memory taken.
+    is_near : bool
+        Whether it stands in this node's failure domain.
+    is_recovering : bool
+        Whether it was silent and hasn't answered since.
+    is_new : bool
+        Whether it has just started.
+    """
+
+    id: str
+    address: str
+    rank: int
+    slots: int
+    writers: int = 0
+    short_writers: int = 0
+    helping: int = 0
+    backlog_s: float = 0.0
+    kv_tokens: int = 0
+    is_near: bool = True
+    is_recovering: bool = False
+    is_new: bool = False
+
+    @property
+    def extra_s(self):
+        """What speaks against it beside its load."""
+        return (
+            (0.0 if self.is_near else OTHER_DOMAIN_COST_S)
+            + (RECOVERING_COST_S if self.is_recovering else 0.0)
+            + (NEW_COST_S if self.is_new else 0.0)
+        )
+
+    @property
+    def disturbed_s(self):
+        """What a part of a long prompt costs the short requests there."""
+        return self.short_writers * DISTURBED_COST_S
+
+    def wait_s(self, engine):
+        """Return the expected time until it begins to read what is sent now."""
+        ready_s = pass_s(engine, self.writers, self.kv_tokens) / 2
+        return ready_s + self.backlog_s + self.extra_s
+
+
+@dataclass(frozen=True)
+class Placement:
+    """Where a request goes.
+
+    Parameters
+    ----------
+    first : Candidate
+        Gets the request and writes the answer.
+    helpers : tuple of Candidate
+        Read a part of the prompt each.
+    expected_s : float
+        Until the first event.
+    part_read_s : float
+        Reading of each part.
+    """
+
+    first: Candidate
+    helpers: tuple[Candidate, ...]
+    expected_s: float
+    part_read_s: float
+
+
+def rank_replicas(ids):
+    """Return each replica's place in an order that all nodes agree on.
+
+    Parameters
+    ----------
+    ids : iterable of str
+        Replicas.
+
+    Returns
+    -------
+    dict of str to int
+    """
+    ordered = sorted(ids, key=lambda name: xxhash.xxh32_intdigest(name.encode()))
+    return {name: place for place, name in enumerate(ordered)}
+
+
+def choose_plain(candidates: Sequence[Candidate]):
+    """Return the replica for a request without a prompt, or None.
+
+    The one with the most free slots; a near one where that is equal.
+    """
+    if not candidates:
+        return None
+
+    def load(candidate):
+        share = candidate.writers / max(1, candidate.slots)
+        return (candidate.is_recovering, round(share, 2), candidate.extra_s)
+
+    first = min(candidates, key=load)
+    return Placement(first, (), 0.0, 0.0)
+
+
+def choose_prompt(engine: Engine, size: Size, candidates: Sequence[Candidate]):
+    """Return where a prompt goes, or None where no replica has the memory.
+
+    Parameters
+    ----------
+    engine : Engine
+        The service's figures.
+    size : Size
+        The request.
+    candidates : sequence of Candidate
+        Replicas that may take it.
+    """
+    fitting = [
+        candidate
+        for candidate in candidates
+        if candidate.kv_tokens + size.tokens <= engine.kv_tokens
+    ]
+    if not fitting:
+        return None
+    whole_s = read_s(engine, size.prompt_tokens)
+    if whole_s <= SHORT_READ_S:
+        return _choose_short(engine, whole_s, fitting)
+    return _choose_long(engine, size, whole_s, fitting, candidates)
+
+
+def _expect(engine, candidate, own_read_s):
+    """Return the expected time to the first event at one replica."""
+    waits = max(0, candidate.writers + 1 - candidate.slots)
+    return (
+        first_event_s(
+            engine,
+            own_read_s=own_read_s,
+            backlog_s=candidate.backlog_s,
+            writers=candidate.writers,
+            context_tokens=candidate.kv_tokens,
+        )
+        + waits * FULL_COST_S
+        + candidate.extra_s
+    )
+
+
+def _choose_short(engine, whole_s, candidates):
+    """Pack a short prompt onto the first replica in order that has room."""
+    packed = [
+        candidate
+        for candidate in candidates
+        if candidate.writers < min(SHORT_WRITERS_MOST, candidate.slots)
+        and candidate.backlog_s <= SHORT_BACKLOG_S
+        and not (candidate.is_recovering or candidate.is_new)
+    ]
+    if packed:
+        first = min(packed, key=lambda candidate: candidate.rank)
+    else:
+        first = min(candidates, key=lambda one: _expect(engine, one, whole_s))
+    return Placement(first, (), _expect(engine, first, whole_s), whole_s)
+
+
+def _choose_long(engine, size, whole_s, fitting, candidates):
+    """Spread a long prompt over as many replicas as it gains by."""
+
+    first = min(
+        fitting,
+        key=lambda one: (_expect(engine, one, whole_s) + one.disturbed_s, -one.rank),
+    )
+    others = sorted(
+        (
+            one
+            for one in candidates
+            if one.id != first.id
+            and one.helping < one.slots - 1
+            and not (one.is_recovering or one.is_new)
+        ),
+        key=lambda one: (one.wait_s(engine) + one.disturbed_s, -one.rank),
+    )
+    wanted = min(HELPERS_MOST, round(whole_s / PART_READ_S), len(others))
+    plans = (
+        _plan(engine, size, whole_s, first, others[:count])
+        for count in range(wanted + 1)
+    )
+    _, placement = min(plans, key=lambda plan: plan[0])
+    return placement
+
+
+def _plan(engine, size, whole_s, first, helpers):
+    """Return what it costs to read a prompt with certain helpers, and the placement."""
+    part_s = whole_s / (len(helpers) + 1)
+    last_s = max(one.wait_s(engine) for one in (first, *helpers))
+    expected_s = last_s + part_s + pass_s(engine, first.writers + 1, size.tokens)
+    disturbed_s = sum(one.disturbed_s for one in helpers) / (len(helpers) + 1)
+    cost_s = expected_s + len(helpers) * HELPER_COST_S + disturbed_s
+    return cost_s, Placement(first, tuple(helpers), expected_s, part_s)
--- /dev/null
+++ b/lycheetide/platform/_config.py
@@ -0,0 +1,190 @@
+"""Decode what operators write: the configuration and the domains taken out."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from lycheetide.exchange import Record
+from lycheetide.routes import (
+    Customer,
+    Engine,
+    Kind,
+    Limits,
+    Route,
+    Routing,
+    Service,
+    Share,
+)
+
+CONFIG_KEY = "config"
+EVACUATE_PREFIX = "evacuate/"
+
+_KINDS = {
+    "idempotent": Kind.IDEMPOTENT,
+    "non_idempotent": Kind.NON_IDEMPOTENT,
+    "streaming": Kind.STREAM,
+}
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str = ""
+
+
+class _Engine(msgspec.Struct, frozen=True, rename="camel"):
+    """A service's engine; three names of its figures are already in snake case."""
+
+    slots: int = 8
+    kv_capacity_tokens: int = 0
+    stride: int = 1  # token steps of one pass
+    step_ms: float = msgspec.field(name="step_ms", default=1.0)
+    per_seq_ms: float = msgspec.field(name="per_seq_ms", default=0.0)
+    context_per_k: float = msgspec.field(name="context_per_k", default=0.0)
+    read_per_s: float = msgspec.field(name="read_per_s", default=0.0)
+    pairs_per_m: float = msgspec.field(name="pairs_per_m", default=0.0)
+
+
+class _Service(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    max_conns: int = 100
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+
+class _Share(msgspec.Struct, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, frozen=True, rename="camel"):
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    name: str = ""
+    goal_latency_ms: float = 0.0
+    gap_target_ms: float = 0.0
+    priority: int = 5
+    service: str = ""
+    split: list[_Share] = []
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    allowed_regions: list[str] = []
+
+
+class _Tenant(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Config(msgspec.Struct, frozen=True, rename="camel"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
+
+
+def _make_engine(engine):
+    """Return an engine with its figures in seconds."""
+    if engine is None or engine.read_per_s <= 0:
+        return None
+    return Engine(
+        slots=engine.slots,
+        kv_tokens=engine.kv_capacity_tokens,
+        steps_per_pass=engine.stride,
+        step_s=engine.step_ms / 1e3,
+        step_s_per_writer=engine.per_seq_ms / 1e3,
+        step_s_per_context_token=engine.context_per_k / 1e6,
+        read_s_per_token=1.0 / engine.read_per_s,
+        read_s_per_pair=engine.pairs_per_m / 1e9,
+    )
+
+
+def _make_service(service):
+    """Return a service in the product's words."""
+    return Service(
+        name=service.name,
+        cold_s=service.cold_s,
+        cold_requests_per_s=service.cold_per_s,
+        max_connections=service.max_conns,
+        engine=_make_engine(service.engine),
+    )
+
+
+def _make_route(route):
+    """Return a route in the product's words."""
+    shares = tuple(Share(share.service, share.weight) for share in route.split)
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=_KINDS.get(route.kind, Kind.NON_IDEMPOTENT),
+        shares=shares or (Share(route.service, 1.0),),
+        timeout_s=route.timeout_ms / 1e3,
+        target_latency_s=route.goal_latency_ms / 1e3,
+        target_gap_s=route.gap_target_ms / 1e3,
+        priority=route.priority,
+        max_attempts=max(1, route.attempts),
+        is_public=route.public,
+        is_resumable=route.resumable,
+        regions=tuple(route.allowed_regions),
+    )
+
+
+def decode_routing(value: bytes) -> Routing:
+    """Return a configuration.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If it isn't one.
+    """
+    config = msgspec.json.decode(value, type=_Config)
+    customers = None
+    if config.tenants is not None:
+        customers = tuple(
+            Customer(tenant.name, tuple(tenant.api_keys), tenant.priority)
+            for tenant in config.tenants
+        )
+    limits = config.limits
+    return Routing(
+        version=config.version,
+        routes=tuple(_make_route(route) for route in config.routes),
+        services=tuple(_make_service(service) for service in config.services),
+        customers=customers,
+        limits=Limits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_s=limits.header_timeout_ms / 1e3,
+            idle_s=limits.idle_timeout_ms / 1e3,
+        ),
+    )
+
+
+def decode_operator_records(records: Iterable[Record]):
+    """Yield what each record says.
+
+    Yields
+    ------
+    record : Record
+        The record.
+    routing : Routing or None
+        A new configuration.
+    domain : str or None
+        A failure domain that is taken out; back in where the record has no value.
+    """
+    for record in records:
+        if record.key == CONFIG_KEY and record.value is not None:
+            yield record, decode_routing(record.value), None
+        elif record.key.startswith(EVACUATE_PREFIX):
+            yield record, None, record.key.removeprefix(EVACUATE_PREFIX)
--- /dev/null
+++ b/lycheetide/platform/_store.py
@@ -0,0 +1,185 @@
+"""Calls to the platform's store."""
+
+import base64
+from dataclasses import dataclass
+from urllib.parse import quote
+
+import msgspec
+
+from lycheetide.exchange import Batch, Record, StoreUnavailable
+from lycheetide.httpclient import Channel, ChannelBroken, ConnectFailed, Outgoing
+from lycheetide.platform._records import (
+    HEAD_BYTES,
+    BrokenRecords,
+    decode_records,
+    encode_record,
+)
+
+OPERATOR = "keyed.op"
+"""What operators write: the configuration, and which failure domains are out."""
+REGISTRY = "keyed.servers"
+"""What replicas write of themselves."""
+NODES = "keyed.lycheetide-nodes"
+"""Where this system's nodes write how they can be reached."""
+
+LARGEST_READ_KB = 1_024
+
+
+class _Item(msgspec.Struct, frozen=True):
+    """One record of a listing."""
+
+    key: str
+    offset: int
+    value: str = ""
+
+
+class _Page(msgspec.Struct, frozen=True):
+    """One page of a listing."""
+
+    items: list[_Item]
+    end: int
+    more: bool = False
+
+
+@dataclass(frozen=True)
+class _Answer:
+    """Status and body of one call."""
+
+    status: int
+    body: bytes
+
+
+class StoreClient:
+    """One kept connection to the store; one call at a time.
+
+    Parameters
+    ----------
+    address : str
+        "ip:port".
+    """
+
+    def __init__(self, address):
+        self.address = address
+        self.calls = 0
+        self._channel = None
+
+    async def read(self, topic, offset, *, wait_s, timeout_s) -> Batch:
+        """Return the records from an offset on, or a listing where they are gone.
+
+        Parameters
+        ----------
+        topic : str
+            A keyed topic.
+        offset : int
+            The first wanted; below 0 for a listing.
+        wait_s : float
+            How long the store may wait for a first record.
+        timeout_s : float
+            How long it may take beyond that.
+
+        Raises
+        ------
+        StoreUnavailable
+            If there was no usable answer.
+        """
+        if offset < 0:
+            return await self.list(topic, timeout_s=timeout_s)
+        target = (
+            f"/-/log-read?topic={topic}&part=0&from={offset}"
+            f"&maxKb={LARGEST_READ_KB}&waitMs={int(wait_s * 1000)}"
+        )
+        answer = await self._call("GET", target, b"", timeout_s=wait_s + timeout_s)
+        if answer.status == 410:
+            return await self.list(topic, timeout_s=timeout_s)
+        self._check(answer, target)
+        if len(answer.body) < HEAD_BYTES:
+            raise StoreUnavailable(f"{target}: got {len(answer.body)} bytes")
+        end = int.from_bytes(answer.body[:8], "big")
+        try:
+            records = tuple(decode_records(answer.body[HEAD_BYTES:], offset))
+        except BrokenRecords as error:
+            raise StoreUnavailable(str(error)) from error
+        next_offset = records[-1].offset + 1 if records else max(end, offset)
+        return Batch(records, next_offset)
+
+    async def list(self, topic, *, timeout_s) -> Batch:
+        """Return the newest record of each key.
+
+        Raises
+        ------
+        StoreUnavailable
+            If there was no usable answer.
+        """
+        records: list[Record] = []
+        after = ""
+        first_end = None
+        while True:
+            target = f"/-/log-newest?topic={topic}&part=0"
+            if after:
+                target += f"&after={quote(after, safe='')}"
+            answer = await self._call("GET", target, b"", timeout_s=timeout_s)
+            self._check(answer, target)
+            try:
+                page = msgspec.json.decode(answer.body, type=_Page)
+                records.extend(_decode_item(item) for item in page.items)
+            except (msgspec.MsgspecError, ValueError) as error:
+                raise StoreUnavailable(f"{target}: {error}") from error
+            if first_end is None:
+                # Pages are no snapshot; what was written since the first page is
+                # read again from its end.
+                first_end = page.end
+            if not page.more or not page.items:
+                return Batch(tuple(records), first_end, is_listing=True)
+            after = page.items[-1].key
+
+    async def append(self, topic, key, value, *, timeout_s):
+        """Write one keyed record.
+
+        Raises
+        ------
+        StoreUnavailable
+            If it isn't known to be written.
+        """
+        target = f"/-/log-append?topic={topic}&part=0"
+        body = encode_record(key, value)
+        self._check(await self._call("POST", target, body, timeout_s=timeout_s), target)
+
+    async def aclose(self):
+        """Close the connection."""
+        if self._channel is not None:
+            channel, self._channel = self._channel, None
+            await channel.aclose()
+
+    @staticmethod
+    def _check(answer, target):
+        """Raise for any answer but success."""
+        if answer.status != 200:
+            raise StoreUnavailable(f"{target}: got status {answer.status}")
+
+    async def _call(self, method, target, body, *, timeout_s):
+        """Make one call; the connection is dropped if anything goes wrong."""
+        self.calls += 1
+        whole = False
+        try:
+            if self._channel is None or not self._channel.is_alive():
+                await self.aclose()
+                self._channel = await Channel.connect(self.address, timeout_s=timeout_s)
+            headers = [(b"Host", self.address.encode())]
+            if body:
+                headers.append((b"Content-Type", b"application/octet-stream"))
+            outgoing = Outgoing(method.encode(), target.encode(), tuple(headers), body)
+            head = await self._channel.request(outgoing, timeout_s=timeout_s)
+            content = await self._channel.read_all(timeout_s=timeout_s)
+            whole = self._channel.is_reusable
+            return _Answer(head.status, content)
+        except (ConnectFailed, ChannelBroken) as error:
+            raise StoreUnavailable(str(error)) from error
+        finally:
+            if not whole:
+                await self.aclose()
+
+
+def _decode_item(item):
+    """Return one item of a listing as a record."""
+    value = base64.b64decode(item.value) if item.value else None
+    return Record(item.offset, item.key, value)
--- /dev/null
+++ b/lycheetide/relay/_attempt.py
@@ -0,0 +1,255 @@
+"""Send a request to one replica and read the head of its answer."""
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from lycheetide.board import Ended, Job, Part, Started, Suspected
+from lycheetide.exchange import Answer, CallerRequest
+from lycheetide.httpclient import ChannelBroken, ConnectFailed
+from lycheetide.placement import Placement, Size
+from lycheetide.relay._outcomes import AttemptFailed, Cause
+from lycheetide.relay._state import read_clock
+from lycheetide.routes import Customer, Route, Service
+
+CONNECT_S = 0.4
+"""How long a connection may take: a hundred round trips between failure domains."""
+JOB_SLACK_S = 1.0
+"""How long after its deadline a request is taken for ended if nobody says so."""
+
+
+@dataclass
+class Call:
+    """One caller's request on its way.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        What came.
+    body : bytes
+        Its body.
+    route : Route
+        Where it goes.
+    service : Service
+        Which replicas serve it.
+    customer : Customer or None
+        Whose it is.
+    size : Size
+        What it asks of a replica.
+    deadline_s : float
+        When its final answer is due.
+    sent : int
+        Replicas that it was sent to.
+    may_have_run : bool
+        Whether one of them may have begun.
+    tried : set of str
+        Which they were.
+    last_cause : Cause or None
+        How the last attempt ended.
+    """
+
+    request: CallerRequest
+    body: bytes
+    route: Route
+    service: Service
+    customer: Customer | None
+    size: Size
+    deadline_s: float
+    sent: int = 0
+    may_have_run: bool = False
+    tried: set[str] = field(default_factory=set)
+    last_cause: Cause | None = None
+
+    def left_s(self, *, now_s):
+        """Return the time until the answer is due."""
+        return self.deadline_s - now_s
+
+
+@dataclass
+class Attempt:
+    """A request at one replica, with its answer's head read."""
+
+    channel: Any
+    answer: Answer
+    placement: Placement
+
+
+def make_parts(call, placement):
+    """Return what a request costs at each replica that takes part."""
+    first = placement.first
+    parts = [Part(first.id, placement.part_read_s, call.size.tokens, True)]
+    parts += [
+        Part(helper.id, placement.part_read_s, 0, False) for helper in placement.helpers
+    ]
+    return tuple(parts)
+
+
+@asynccontextmanager
+async def announced(relay, call, placement):
+    """Tell all nodes of an attempt while it lasts."""
+    now_s = read_clock()
+    lasts_s = max(0.0, call.left_s(now_s=now_s)) + JOB_SLACK_S
+    job_id = relay.next_job()
+    parts = make_parts(call, placement)
+    relay.board.start(
+        Job(job_id, relay.node, parts, now_s, now_s + lasts_s), now_s=now_s
+    )
+    relay.send_datagram(Started(relay.node, job_id, parts, lasts_s))
+    try:
+        yield
+    finally:
+        relay.board.end(relay.node, job_id, now_s=read_clock())
+        relay.send_datagram(Ended(relay.node, job_id))
+
+
+def suspect(relay, replica, why):
+    """Leave a replica alone for a while, here and at all other nodes."""
+    relay.board.suspect(replica, now_s=read_clock())
+    relay.send_datagram(Suspected(relay.node, replica))
+    relay.counters.add("replicas.suspected")
+    relay.log.info("A replica is suspected.", extra={"replica": replica, "why": why})
+
+
+@asynccontextmanager
+async def open_attempt(
+    relay, call, placement, *, head_s, more=None, tickets=(), resume_after=b""
+):
+    """Send a request and read the head of its answer.
+
+    Parameters
+    ----------
+    relay : RelayState
+        This node.
+    call : Call
+        The request.
+    placement : Placement
+        Where it goes.
+    head_s : float
+        How long the head may take.
+    more : callable or None
+        Tells how much longer it may take then.
+    tickets : sequence of (str, str)
+        Addresses that hold its memory, each with its ticket.
+    resume_after : bytes
+        The last event that the caller has.
+
+    Yields
+    ------
+    Attempt
+
+    Raises
+    ------
+    AttemptFailed
+        If there was no head of an answer to this request.
+    """
+    first = placement.first
+    fresh = not call.route.is_repeatable
+    now_s = read_clock()
+    try:
+        channel = await relay.pool.open(
+            first.address, timeout_s=CONNECT_S, now_s=now_s, fresh=fresh
+        )
+    except ConnectFailed as error:
+        suspect(relay, first.id, "no connection")
+        raise AttemptFailed(
+            Cause.CONNECT_FAILED, str(error), may_have_run=False
+        ) from error
+    whole = False
+    try:
+        outgoing = relay.adapter.encode_attempt(
+            call.request,
+            call.body,
+            replica=relay.replicas.replicas[first.id].entry,
+            customer=call.customer.name if call.customer else "",
+            left_s=call.left_s(now_s=read_clock()),
+            helpers=(
+                *tickets,
+                *((one.address, "") for one in placement.helpers),
+            ),
+            urgency=find_urgency(call),
+            resume_after=resume_after or call.request.resume_after,
+        )
+        call.sent += 1
+        relay.note_start(first.id, now_s=read_clock())
+        try:
+            head = await channel.request(outgoing, timeout_s=head_s, more=more)
+        except ChannelBroken as broken:
+            raise make_failure(broken, is_written=channel.is_written) from broken
+        answer = relay.adapter.decode_answer(head)
+        note_answer(relay, first.id, answer)
+        check_answer(call, answer)
+        attempt = Attempt(channel, answer, placement)
+        yield attempt
+        whole = channel.is_reusable and not _closes(answer)
+    finally:
+        if whole:
+            await relay.pool.give_back(channel, now_s=read_clock())
+        else:
+            await channel.aclose()
+
+
+def make_failure(broken, *, is_written):
+    """Return how an attempt failed whose connection broke."""
+    cause = Cause.SILENT if broken.is_silent else Cause.BROKEN
+    return AttemptFailed(cause, str(broken), may_have_run=is_written)
+
+
+def _closes(answer):
+    """Tell whether the replica closes the connection behind its answer."""
+    return any(
+        name == b"connection" and b"close" in value.lower()
+        for name, value in answer.headers
+    )
+
+
+def note_answer(relay, replica, answer):
+    """Take in what an answer's head tells of its replica and of others."""
+    now_s = read_clock()
+    relay.board.hear(replica, now_s=now_s)
+    if answer.is_unstarted and answer.at_fault:
+        for known in list(relay.replicas.replicas.values()):
+            if answer.at_fault in (known.entry.id, known.entry.address):
+                suspect(relay, known.entry.id, "another replica waited for it")
+
+
+def check_answer(call, answer):
+    """Check that a head answers this request.
+
+    Raises
+    ------
+    AttemptFailed
+        If it is another's answer, a refusal, or none that the replica vouches for.
+    """
+    if answer.is_unstarted:
+        cause = Cause.OTHER_REPLICA if answer.is_other_replica else Cause.REFUSED
+        raise AttemptFailed(cause, f"status {answer.status}", may_have_run=False)
+    if answer.attempt_id != call.request.attempt_id:
+        raise AttemptFailed(
+            Cause.WRONG_ANSWER,
+            f"got the answer to {answer.attempt_id!r}",
+            may_have_run=True,
+        )
+    if not answer.is_sealed or answer.is_encoded:
+        raise AttemptFailed(
+            Cause.WRONG_ANSWER, "not the replica's own bytes", may_have_run=True
+        )
+
+
+def find_urgency(call):
+    """Return how soon a replica admits a prompt: the shorter, the sooner."""
+    if call.size.prompt_tokens == 0:
+        return None
+    urgency = next(
+        (
+            place
+            for place, tokens in enumerate(URGENCY_TOKENS)
+            if call.size.prompt_tokens <= tokens
+        ),
+        len(URGENCY_TOKENS),
+    )
+    return min(9, urgency + 2)
+
+
+URGENCY_TOKENS = (10_000, 30_000, 60_000, 120_000)
+"""Prompt lengths at which a prompt is admitted one step later; a quick quote's mean
+is 5,000 tokens, a review's 45,000 and an archive search's 133,000."""
--- /dev/null
+++ b/lycheetide/relay/_events.py
@@ -0,0 +1,65 @@
+"""Split a stream into whole events."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+END_OF_EVENT = b"\n\n"
+
+
+@dataclass(frozen=True)
+class Event:
+    """One event of a stream.
+
+    Parameters
+    ----------
+    data : bytes
+        All its lines with the empty one behind them.
+    id : bytes
+        Its id; empty where it has none.
+    """
+
+    data: bytes
+    id: bytes
+
+    @property
+    def number(self):
+        """The id as a number, or None."""
+        return int(self.id) if self.id.isdigit() else None
+
+
+class EventSplitter:
+    r"""Collects bytes and gives back whole events.
+
+    Examples
+    --------
+    >>> splitter = EventSplitter()
+    >>> list(splitter.split(b"id: 1\ndata: a\n\nid: 2"))
+    [Event(data=b'id: 1\ndata: a\n\n', id=b'1')]
+    >>> splitter.rest
+    b'id: 2'
+    """
+
+    def __init__(self):
+        self.rest = b""
+
+    def split(self, data: bytes) -> Iterator[Event]:
+        """Take bytes in and yield the events that are whole now."""
+        self.rest += data.replace(b"\r\n", b"\n") if b"\r" in data else data
+        while (end := self.rest.find(END_OF_EVENT)) >= 0:
+            end += len(END_OF_EVENT)
+            event, self.rest = self.rest[:end], self.rest[end:]
+            yield Event(event, find_id(event))
+
+
+def find_id(event: bytes) -> bytes:
+    r"""Return the id of an event.
+
+    Examples
+    --------
+    >>> find_id(b"id: 12\ndata: x\n\n")
+    b'12'
+    """
+    for line in event.split(b"\n"):
+        if line.startswith(b"id:"):
+            return line[3:].strip()
+    return b""
--- /dev/null
+++ b/lycheetide/relay/_follow.py
@@ -0,0 +1,242 @@
+"""Follow what operators and replicas write into the store.
+
+A peer that knows more is asked where the store doesn't answer this node.
+"""
+
+import anyio
+import msgspec
+
+from lycheetide.exchange import Batch, StoreUnavailable
+from lycheetide.httpclient import ChannelBroken, ConnectFailed, Outgoing
+from lycheetide.relay._state import read_clock
+from lycheetide.routes import RouteTable
+
+CALL_S = 1.0
+"""How long the store may take; its ordinary answers take 4 ms, slow ones 0.3 s."""
+RETRY_S = 0.4
+"""Pause after a call that failed."""
+OUTAGE_S = 1.5
+"""Reads that failed for so long were an outage, in which entries may have lapsed."""
+PEER_CALL_S = 1.0
+
+STATE_TARGETS = {"operator": b"/v1/operator", "registry": b"/v1/registry"}
+
+
+async def follow_operator(relay):
+    """Follow the configuration and the failure domains taken out, for ever."""
+    store = relay.make_store()
+    while True:
+        with anyio.CancelScope() as relay.operator_read:
+            await read_once(
+                relay, store, "operator", wait_s=relay.settings.operator_wait_s
+            )
+        if relay.operator_read.cancelled_caught:
+            await read_from_peer(relay, "operator")
+
+
+async def follow_registry(relay):
+    """Follow the list of replicas, for ever."""
+    store = relay.make_store()
+    while True:
+        await read_once(relay, store, "registry", wait_s=0.0)
+        await anyio.sleep(relay.settings.registry_interval_s)
+
+
+async def read_once(relay, store, name, *, wait_s):
+    """Read what is new from the store, or else from a peer."""
+    source = getattr(relay, name)
+    topic = {"operator": relay.adapter.OPERATOR, "registry": relay.adapter.REGISTRY}
+    try:
+        batch = await store.read(
+            topic[name], source.offset, wait_s=wait_s, timeout_s=CALL_S
+        )
+    except StoreUnavailable as error:
+        note_failure(relay, name, source, error)
+        await read_from_peer(relay, name)
+        await anyio.sleep(RETRY_S)
+        return
+    now_s = read_clock()
+    if not source.is_reachable:
+        relay.log.info("The store answers.", extra={"topic": name})
+        if now_s - source.read_s > OUTAGE_S:
+            source.returned_s = now_s
+    source.is_reachable = True
+    take(relay, name, batch, now_s=now_s)
+
+
+def note_failure(relay, name, source, error):
+    """Note a read that failed."""
+    relay.counters.add(f"store.failed.{name}")
+    if source.is_reachable:
+        relay.log.warning(
+            "The store doesn't answer.", extra={"topic": name, "cause": str(error)}
+        )
+    source.is_reachable = False
+
+
+def take(relay, name, batch, *, now_s, read_s=None):
+    """Take in what a read brought.
+
+    Parameters
+    ----------
+    relay : RelayState
+        This node.
+    name : str
+        "operator" or "registry".
+    batch : Batch
+        What was read.
+    now_s : float
+        The present time.
+    read_s : float or None
+        When the store said so; None for now.
+    """
+    source = getattr(relay, name)
+    source.read_s = max(source.read_s, now_s if read_s is None else read_s)
+    newer = [
+        record
+        for record in batch.records
+        if record.key not in source.records
+        or record.offset > source.records[record.key].offset
+    ]
+    for record in newer:
+        source.records[record.key] = record
+    if name == "operator":
+        take_operator(relay, newer, batch)
+    else:
+        take_registry(relay, newer, batch, now_s=now_s)
+    source.offset = max(source.offset, batch.end)
+
+
+def take_operator(relay, records, batch):
+    """Put a newer configuration in force, and take domains out or back in."""
+    closed = set(relay.closed)
+    if batch.is_listing and batch.end >= relay.operator.offset:
+        present = {record.key for record in batch.records}
+        relay.operator.records = {
+            key: record
+            for key, record in relay.operator.records.items()
+            if key in present or record.offset >= batch.end
+        }
+        closed = set()
+        records = list(relay.operator.records.values())
+    for record, routing, domain in decode_operator(relay, records):
+        if domain is not None:
+            (closed.discard if record.value is None else closed.add)(domain)
+        elif relay.table is None or routing.version > relay.table.routing.version:
+            relay.table = RouteTable(routing)
+            relay.log.info(
+                "A configuration is in force.",
+                extra={"version": routing.version, "offset": record.offset,
+                       "routes": len(routing.routes)},
+            )  # fmt: skip
+    if closed != relay.closed:
+        relay.closed = frozenset(closed)
+        relay.log.info("Failure domains are out.", extra={"domains": sorted(closed)})
+    relay.tell_news()
+
+
+def decode_operator(relay, records):
+    """Yield what operators' records say; a broken one is counted and left out."""
+    for record in sorted(records, key=lambda one: one.offset):
+        try:
+            yield from relay.adapter.decode_operator_records([record])
+        except msgspec.MsgspecError as error:
+            relay.counters.add("config.broken")
+            relay.log.error(
+                "A configuration can't be read.",
+                extra={"offset": record.offset, "cause": str(error)},
+            )
+
+
+def take_registry(relay, records, batch, *, now_s):
+    """Take replicas in."""
+    services = relay.table.services if relay.table else ()
+    skipped: list[str] = []
+    changes = list(
+        relay.adapter.decode_registry_records(
+            records, services=services, skipped=skipped
+        )
+    )
+    for line in skipped:
+        relay.counters.add("registry.skipped")
+        relay.log.info("An entry of the registry is skipped.", extra={"entry": line})
+    returned_s = relay.registry.returned_s
+    if batch.is_listing:
+        taken = relay.replicas.list_all(
+            changes, batch.end, now_s=now_s, returned_s=returned_s
+        )
+    else:
+        taken = relay.replicas.apply(changes, now_s=now_s, returned_s=returned_s)
+        relay.replicas.end = max(relay.replicas.end, batch.end)
+    for change in taken or ():
+        entry = change.entry
+        relay.log.info(
+            "A replica changed.",
+            extra={"replica": change.id, "offset": change.offset,
+                   "state": "gone" if entry is None
+                   else "draining" if entry.is_draining else "ready",
+                   "cold_ms": 0 if entry is None else round(entry.cold_s * 1e3)},
+        )  # fmt: skip
+
+
+async def read_from_peer(relay, name):
+    """Ask a peer that knows more than this node."""
+    now_s = read_clock()
+    source = getattr(relay, name)
+    offset = f"{name}_offset"
+    knowing = [
+        peer
+        for peer in relay.peers.alive(now_s=now_s)
+        if getattr(peer, offset) > source.offset
+    ]
+    if not knowing:
+        return
+    peer = max(knowing, key=lambda one: getattr(one, offset))
+    try:
+        batch = await fetch_state(relay, peer.address, STATE_TARGETS[name])
+    except (ConnectFailed, ChannelBroken, msgspec.MsgspecError) as error:
+        relay.log.info(
+            "A peer gave no state.", extra={"peer": peer.address, "cause": str(error)}
+        )
+        return
+    relay.counters.add(f"peers.gave.{name}")
+    take(relay, name, batch, now_s=now_s, read_s=source.read_s)
+
+
+async def fetch_state(relay, address, target):
+    """Return all that a peer knows of one topic."""
+    now_s = read_clock()
+    channel = await relay.pool.open(address, timeout_s=PEER_CALL_S, now_s=now_s)
+    try:
+        outgoing = Outgoing(b"GET", target, ((b"Host", address.encode()),))
+        head = await channel.request(outgoing, timeout_s=PEER_CALL_S)
+        data = await channel.read_all(timeout_s=PEER_CALL_S)
+    except BaseException:
+        await channel.aclose()
+        raise
+    await relay.pool.give_back(channel, now_s=read_clock())
+    if head.status != 200:
+        raise ChannelBroken(f"{address}: status {head.status}")
+    return msgspec.msgpack.decode(data, type=Batch)
+
+
+def make_peer_app(relay):
+    """Return the application that gives peers what this node knows."""
+
+    async def peer_app(scope, receive, send):
+        if scope["type"] != "http":
+            return
+        names = {path.decode(): name for name, path in STATE_TARGETS.items()}
+        name = names.get(scope["path"])
+        status, body = 404, b""
+        if name is not None:
+            source = getattr(relay, name)
+            batch = Batch(tuple(source.records.values()), source.offset, True)
+            status, body = 200, msgspec.msgpack.encode(batch)
+        headers = [(b"content-length", str(len(body)).encode())]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    return peer_app
--- /dev/null
+++ b/lycheetide/relay/_plain.py
@@ -0,0 +1,103 @@
+"""Serve a request whose answer is short and goes out as a whole."""
+
+from lycheetide.exchange import Answer
+from lycheetide.httpclient import ChannelBroken
+from lycheetide.relay._attempt import announced, make_failure, open_attempt, suspect
+from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal
+from lycheetide.relay._place import choose, make_refusal, may_try_again
+from lycheetide.relay._state import read_clock
+
+SILENCE_S = 0.8
+"""How long the answer to a repeatable request may take before another replica is
+asked, unless its target is longer; a booking system answers within 0.1 to 0.5 s."""
+SERVER_ERROR = 500
+"""Statuses from here on may be another one's success if the request is repeated."""
+AGAIN_S = 0.05
+"""What another attempt needs at least."""
+
+
+async def serve_plain(relay, call, reply):
+    """Bring a call its answer.
+
+    Raises
+    ------
+    Refusal
+        If no replica gave one.
+    """
+    kept: tuple[Answer, bytes] | None = None
+    while True:
+        placement = choose(relay, call) if kept is None else choose_or_none(relay, call)
+        if placement is None:
+            break
+        call.tried.add(placement.first.id)
+        try:
+            kept = await ask(relay, call, placement)
+        except AttemptFailed as failure:
+            note_failure(relay, call, placement, failure)
+            if may_try_again(relay, call, needs_s=AGAIN_S):
+                relay.counters.add(f"retries.{failure.cause}")
+                continue
+            if kept is None:
+                raise make_refusal(call, failure.cause, message=str(failure)) from None
+            break
+        call.may_have_run = True
+        is_good = kept[0].status < SERVER_ERROR
+        if is_good or not may_try_again(relay, call, needs_s=AGAIN_S):
+            break
+        relay.counters.add(f"retries.{Cause.UPSTREAM_ERROR}")
+    if kept is None:
+        raise make_refusal(call, Cause.NO_REPLICA)
+    answer, body = kept
+    headers = relay.adapter.relayed_headers(answer.headers)
+    await reply.give(answer.status, headers, body)
+
+
+def choose_or_none(relay, call):
+    """Return where to try once more, or None; there is an answer to fall back on."""
+    try:
+        return choose(relay, call)
+    except Refusal:
+        return None
+
+
+async def ask(relay, call, placement):
+    """Return the head and the whole body of one replica's answer.
+
+    Raises
+    ------
+    AttemptFailed
+        If it isn't whole.
+    """
+    left_s = call.left_s(now_s=read_clock())
+    wait_s = left_s
+    if call.route.is_repeatable and call.sent + 1 < call.route.max_attempts:
+        wait_s = min(left_s, max(SILENCE_S, 2 * call.route.target_latency_s))
+    async with (
+        announced(relay, call, placement),
+        open_attempt(relay, call, placement, head_s=wait_s) as attempt,
+    ):
+        try:
+            body = await attempt.channel.read_all(timeout_s=wait_s)
+        except ChannelBroken as broken:
+            raise make_failure(broken, is_written=True) from broken
+        return attempt.answer, body
+
+
+def note_failure(relay, call, placement, failure):
+    """Note how an attempt failed."""
+    call.may_have_run = call.may_have_run or failure.may_have_run
+    call.last_cause = failure.cause
+    if failure.cause is Cause.SILENT:
+        suspect(relay, placement.first.id, "silent")
+    relay.counters.add(f"attempts_failed.{failure.cause}")
+    relay.log.info(
+        "An attempt failed.",
+        extra={
+            "request": call.request.attempt_id,
+            "replica": placement.first.id,
+            "cause": str(failure.cause),
+            "detail": str(failure),
+            "may_have_run": call.may_have_run,
+            "sent": call.sent,
+        },
+    )
--- /dev/null
+++ b/lycheetide/relay/_run.py
@@ -0,0 +1,123 @@
+"""Start a relay, keep its parts running, and stop it without cutting a request."""
+
+import os
+import signal
+import time
+
+import anyio
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from lycheetide.metrics import make_metrics_app
+from lycheetide.relay._follow import follow_operator, follow_registry, make_peer_app
+from lycheetide.relay._gossip import Gossip, discover
+from lycheetide.relay._ingress import make_ingress, make_readiness
+from lycheetide.relay._state import RelayState, read_clock
+from lycheetide.tasks import GuardedTasks, keep_running
+
+NOTICE_S = 3.2
+"""How long the balancer may go on sending callers after a node said it isn't ready:
+two questions, one a second, and the way there."""
+STOP_TICK_S = 0.05
+EXIT_MARGIN_S = 0.7
+"""Kept back of the time that a planned stop may take, for the exit itself."""
+BACKLOG = 512
+
+
+def make_server_config(address, *, idle_s, header_bytes=65_536):
+    """Return the settings of one HTTP server."""
+    config = Config()
+    config.bind = [address]
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    config.include_date_header = False
+    config.keep_alive_timeout = idle_s
+    config.keep_alive_max_requests = 1 << 30
+    config.h11_max_incomplete_size = header_bytes
+    config.h11_pass_raw_headers = False
+    config.graceful_timeout = 0.3
+    config.backlog = BACKLOG
+    return config
+
+
+async def run_relay(settings, adapter):
+    """Run a relay until it is told to stop.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        What it is told.
+    adapter : module
+        Speaks with the platform that it runs on.
+    """
+    node = f"{settings.name}.{time.time_ns() % 10**9:x}.{os.getpid():x}"
+    relay = RelayState(settings, adapter, node)
+    host, _, port = settings.peer_address.rpartition(":")
+    socket = await anyio.create_udp_socket(local_host=host, local_port=int(port))
+    gossip = Gossip(relay, socket)
+    relay.send_datagram = gossip.tell
+    relay.tell_news = gossip.tell_news
+    stopped = anyio.Event()
+    async with anyio.create_task_group() as group:
+        relay.tasks = GuardedTasks(group, relay.counters)
+        for part in (
+            follow_operator,
+            follow_registry,
+            gossip.listen,
+            gossip.greet,
+            gossip.expire,
+        ):
+            group.start_soon(keep_running, relay, part)
+        relay.tasks.start_soon(discover, relay)
+        apps = (
+            (make_ingress(relay), settings.caller_address, settings.idle_s),
+            (make_readiness(relay), settings.readiness_address, 60.0),
+            (make_peer_app(relay), settings.peer_address, 60.0),
+            (make_metrics_app(relay.counters), settings.metrics_address, 60.0),
+        )
+        for app, address, idle_s in apps:
+            if address:
+                config = make_server_config(address, idle_s=idle_s)
+                group.start_soon(_serve, app, config, stopped)
+        relay.log.info("The node has started.", extra={"member": node})
+        await _wait_for_stop(relay)
+        await _leave(relay)
+        stopped.set()
+        await anyio.sleep(0.1)
+        group.cancel_scope.cancel()
+    relay.log.info("The node has stopped.", extra={"member": node})
+
+
+async def _serve(app, config, stopped):
+    """Serve one application until the node has stopped."""
+    await serve(app, config, shutdown_trigger=stopped.wait)
+
+
+async def _wait_for_stop(relay):
+    """Wait for SIGTERM or SIGINT; SIGHUP tells of a settings file that changed."""
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                return
+            relay.log.info("The settings file was read again; nothing changed.")
+
+
+async def _leave(relay):
+    """Leave without cutting a request.
+
+    The balancer lags, and callers go on using open connections; so the node says
+    that it isn't ready, serves whatever comes, asks each caller to open another
+    connection, and ends when nothing is left or its time is over.
+    """
+    relay.is_leaving = True
+    relay.tell_news()
+    relay.log.info("The node is leaving.", extra={"active": relay.active})
+    begun_s = read_clock()
+    longest_s = relay.settings.stop_s - EXIT_MARGIN_S
+    while (passed_s := read_clock() - begun_s) < longest_s:
+        if passed_s >= NOTICE_S and relay.active == 0:
+            return
+        await anyio.sleep(STOP_TICK_S)
--- /dev/null
+++ b/lycheetide/relay/_state.py
@@ -0,0 +1,197 @@
+"""All that one relay knows."""
+
+import random
+import time
+from collections import defaultdict, deque
+from dataclasses import dataclass
+
+from lycheetide.board import Board, Peers
+from lycheetide.httpclient import ChannelPool
+from lycheetide.metrics import Counters, get_log, make_statsd
+from lycheetide.placement import SHORT_READ_S, Candidate, RetryWindow, rank_replicas
+from lycheetide.replicas import ReplicaTable
+from lycheetide.routes import RouteTable
+
+
+def read_clock():
+    """Return the present time on the clock that all of this node's times are on."""
+    return time.monotonic()
+
+
+@dataclass
+class Source:
+    """What was read of one topic of the store.
+
+    Parameters
+    ----------
+    records : dict
+        The newest record by key.
+    offset : int
+        The next to read; -1 before the first listing.
+    read_s : float
+        When a read last said that nothing newer was there.
+    returned_s : float or None
+        When reads last worked again after they had failed for long.
+    is_reachable : bool
+        Whether the last read worked.
+    """
+
+    records: dict
+    offset: int = -1
+    read_s: float = float("-inf")
+    returned_s: float | None = None
+    is_reachable: bool = False
+
+
+class RelayState:
+    """One relay.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        What it is told.
+    adapter : module
+        Speaks with the platform.
+    node : str
+        Its name and start, never used twice.
+    """
+
+    def __init__(self, settings, adapter, node):
+        self.settings = settings
+        self.adapter = adapter
+        self.node = node
+        self.log = get_log("relay")
+        self.counters = Counters(
+            make_statsd(settings.statsd_address, settings.statsd_prefix)
+        )
+        self.random = random.Random(node)
+        self.table: RouteTable | None = None
+        self.closed: frozenset[str] = frozenset()
+        self.operator = Source({})
+        self.registry = Source({})
+        self.replicas = ReplicaTable()
+        self.board = Board(short_read_s=SHORT_READ_S)
+        self.peers = Peers(settings.peer_address)
+        self.pool = ChannelPool()
+        self.active = 0
+        self.is_leaving = False
+        self.tasks = None
+        self.send_datagram = None
+        self.tell_news = None
+        self.operator_read = None
+        self._windows: dict[str, RetryWindow] = {}
+        self._ranks: tuple[frozenset, dict] = (frozenset(), {})
+        self._job_count = 0
+        self._own_starts: dict[str, deque] = defaultdict(deque)
+
+    def make_store(self):
+        """Return a client of the store."""
+        return self.adapter.StoreClient(self.settings.store_address)
+
+    def lags_behind(self, *, now_s):
+        """Tell whether a peer knows more of what operators wrote than this node."""
+        return any(
+            peer.operator_offset > self.operator.offset
+            for peer in self.peers.alive(now_s=now_s)
+        )
+
+    def retries(self, service) -> RetryWindow:
+        """Return the retry budget of a service."""
+        window = self._windows.get(service)
+        if window is None:
+            settings = self.settings
+            window = self._windows[service] = RetryWindow(
+                ratio=settings.retry_ratio,
+                extra=settings.retry_extra,
+                window_s=settings.retry_window_s,
+            )
+        return window
+
+    def next_job(self):
+        """Return a name for an attempt, never used twice by this start of the node."""
+        self._job_count += 1
+        return f"{self._job_count:x}"
+
+    def note_start(self, replica, *, now_s):
+        """Count a request that this node sends."""
+        self._own_starts[replica].append(now_s)
+
+    def own_starts(self, replica, window_s, *, now_s):
+        """Return how many requests this node sent to a replica lately."""
+        starts = self._own_starts[replica]
+        while starts and now_s - starts[0] > window_s:
+            starts.popleft()
+        return len(starts)
+
+    def living_nodes(self, *, now_s):
+        """Return the names of the nodes that are alive, this one among them."""
+        return {self.node, *(peer.node for peer in self.peers.alive(now_s=now_s))}
+
+    def is_ready(self, *, now_s):
+        """Tell whether this node should get callers.
+
+        It knows a configuration and replicas, and it heard of both lately: from the
+        store or from a peer. A node that hears neither can't know what was taken
+        away since.
+        """
+        if self.is_leaving or self.table is None or not self.replicas.replicas:
+            return False
+        heard_s = max(
+            [
+                self.operator.read_s,
+                *(peer.heard_s for peer in self.peers.peers.values()),
+            ]
+        )
+        return now_s - heard_s < self.settings.out_of_touch_s
+
+    def candidates(self, service, *, now_s, without=frozenset()):
+        """Return the replicas of a service that may take work, with their load.
+
+        Parameters
+        ----------
+        service : Service
+            Which.
+        now_s : float
+            The present time.
+        without : set of str
+            Replicas that this request was already sent to.
+        """
+        usable = list(
+            self.replicas.usable(service.name, now_s=now_s, closed=self.closed)
+        )
+        ranks = self._rank(frozenset(replica.entry.id for replica in usable))
+        usable = [replica for replica in usable if replica.entry.id not in without]
+        trusted = [
+            replica
+            for replica in usable
+            if not self.board.is_suspect(replica.entry.id, now_s=now_s)
+        ]
+        return [
+            self._make_candidate(replica, ranks[replica.entry.id], now_s=now_s)
+            for replica in trusted or usable
+        ]
+
+    def _rank(self, ids):
+        """Return each replica's place in the order that all nodes agree on."""
+        if self._ranks[0] != ids:
+            self._ranks = ids, rank_replicas(ids)
+        return self._ranks[1]
+
+    def _make_candidate(self, replica, rank, *, now_s):
+        """Return a replica with its load."""
+        entry = replica.entry
+        column = self.board.column(entry.id)
+        return Candidate(
+            id=entry.id,
+            address=entry.address,
+            rank=rank,
+            slots=entry.slots,
+            writers=column.writers,
+            short_writers=column.short_writers,
+            helping=column.helping,
+            backlog_s=self.board.backlog_s(entry.id, now_s=now_s),
+            kv_tokens=column.kv_tokens,
+            is_near=entry.failure_domain == self.settings.failure_domain,
+            is_recovering=self.board.is_recovering(entry.id, now_s=now_s),
+            is_new=replica.is_cold(now_s=now_s),
+        )
--- /dev/null
+++ b/lycheetide/relay/_stream.py
@@ -0,0 +1,237 @@
+"""Serve a stream: whole events, at once, and on from where a replica broke off."""
+
+from dataclasses import dataclass
+
+from lycheetide.httpclient import ChannelBroken
+from lycheetide.placement import pass_s
+from lycheetide.relay._attempt import announced, make_failure, open_attempt
+from lycheetide.relay._events import EventSplitter
+from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal, StreamCut
+from lycheetide.relay._place import choose, make_refusal, may_try_again
+from lycheetide.relay._plain import note_failure
+from lycheetide.relay._state import read_clock
+from lycheetide.relay._tickets import NoMemory, hold_memory
+from lycheetide.routes import ANY_ENGINE
+
+SILENCE_S = 0.7
+"""Silence of a replica beyond what was expected of it that ends an attempt, unless
+others hear from it: a pass with much reading in it takes up to half a second."""
+PATIENCE = 0.6
+"""Part of the time that a caller waits for an event after which another replica is
+tried even if this one is alive; the rest is for the other one's first event."""
+CALLER_WAITS_S = 2.0
+CALLER_WAITS_TARGETS = 4.0
+CALLER_WAITS_GAPS = 8.0
+"""Callers give a stream up after the longest of: 2 s, 4 times the target of the first
+event, 8 times that of a gap."""
+AGAIN_S = 0.15
+"""What another attempt needs at least to bring an event."""
+EVIDENCE_S = 0.3
+"""Peers tell within this time which replicas they hear."""
+
+
+@dataclass
+class Progress:
+    """How far a stream has come.
+
+    Parameters
+    ----------
+    last_id : bytes
+        Id of the last event that was passed on.
+    last_number : int or None
+        The same as a number.
+    at_s : float
+        When something last came from the present replica.
+    events : int
+        Events passed on.
+    """
+
+    last_id: bytes = b""
+    last_number: int | None = None
+    at_s: float = 0.0
+    events: int = 0
+
+
+async def serve_stream(relay, call, reply):
+    """Bring a call its stream.
+
+    Raises
+    ------
+    Refusal
+        If nothing of an answer came.
+    StreamCut
+        If it broke off after a part was written and can't go on.
+    """
+    progress = Progress()
+    while True:
+        try:
+            await run_attempt(relay, call, reply, progress)
+            return
+        except AttemptFailed as failure:
+            if not may_try_again(relay, call, needs_s=AGAIN_S):
+                if reply.is_started:
+                    raise StreamCut(str(failure)) from None
+                raise make_refusal(call, failure.cause, message=str(failure)) from None
+            relay.counters.add(f"retries.{failure.cause}")
+        except Refusal as refusal:
+            if reply.is_started:
+                raise StreamCut(str(refusal)) from None
+            raise
+
+
+async def run_attempt(relay, call, reply, progress):
+    """Send a call to one replica and pass on what comes.
+
+    Raises
+    ------
+    AttemptFailed
+        If the answer isn't whole.
+    """
+    try:
+        async with hold_memory(relay, call) as memory:
+            placement = memory.placement or choose(relay, call)
+            call.tried.add(placement.first.id)
+            try:
+                async with announced(relay, call, placement):
+                    await _pass_stream(relay, call, reply, progress, placement, memory)
+            except AttemptFailed as failure:
+                note_failure(relay, call, placement, failure)
+                raise
+    except NoMemory as error:
+        raise make_refusal(call, Cause.NO_MEMORY, message=str(error)) from None
+
+
+async def _pass_stream(relay, call, reply, progress, placement, memory):
+    """Pass one replica's events on."""
+    log_placement(relay, call, placement, memory)
+    progress.at_s = read_clock()
+    first_s = SILENCE_S + 2 * placement.expected_s
+    more = make_patience(relay, call, progress, placement.first.id)
+    async with open_attempt(
+        relay, call, placement, head_s=first_s, more=more,
+        tickets=memory.tickets, resume_after=progress.last_id,
+    ) as attempt:  # fmt: skip
+        call.may_have_run = True
+        if attempt.answer.status != 200:
+            await _pass_other(relay, call, reply, attempt)
+            return
+        if not reply.is_started:
+            headers = relay.adapter.relayed_headers(attempt.answer.headers)
+            await reply.start(200, headers)
+        await _pass_events(
+            relay, call, reply, progress, attempt, first_s=first_s, more=more
+        )
+        await reply.end()
+
+
+def log_placement(relay, call, placement, memory):
+    """Log where a prompt goes and what decided it."""
+    relay.log.info(
+        "A prompt is placed.",
+        extra={
+            "request": call.request.attempt_id,
+            "replica": placement.first.id,
+            "helpers": len(placement.helpers),
+            "tickets": len(memory.tickets),
+            "prompt_tokens": call.size.prompt_tokens,
+            "expected_ms": round(placement.expected_s * 1e3),
+            "backlog_ms": round(placement.first.backlog_s * 1e3),
+            "writers": placement.first.writers,
+            "sent": call.sent,
+        },
+    )
+
+
+def make_patience(relay, call, progress, replica):
+    """Return a function that tells how much longer a silent stream is waited for.
+
+    A replica that others hear is alive and only busy: it gets until shortly before
+    the caller gives up. One that nobody hears is taken for dead at once.
+    """
+    patience_s = _patience_s(call)
+
+    def more():
+        now_s = read_clock()
+        heard_s = relay.board.heard_s.get(replica, float("-inf"))
+        if heard_s < now_s - EVIDENCE_S - SILENCE_S:
+            return 0.0
+        return progress.at_s + patience_s - now_s
+
+    return more
+
+
+def _patience_s(call):
+    """Return how long a live replica may stay silent on a stream."""
+    waits_s = max(
+        CALLER_WAITS_S,
+        CALLER_WAITS_TARGETS * call.route.target_latency_s,
+        CALLER_WAITS_GAPS * call.route.target_gap_s,
+    )
+    return PATIENCE * waits_s
+
+
+async def _pass_other(relay, call, reply, attempt):
+    """Pass on a replica's answer that is no stream."""
+    body = await attempt.channel.read_all(timeout_s=CALLER_WAITS_S)
+    if reply.is_started or attempt.answer.status >= 500:
+        raise AttemptFailed(
+            Cause.UPSTREAM_ERROR,
+            f"status {attempt.answer.status}",
+            may_have_run=True,
+        )
+    headers = relay.adapter.relayed_headers(attempt.answer.headers)
+    await reply.give(attempt.answer.status, headers, body)
+
+
+async def _pass_events(relay, call, reply, progress, attempt, *, first_s, more):
+    """Pass events on until the stream is complete.
+
+    Raises
+    ------
+    AttemptFailed
+        If it breaks off or stays silent.
+    """
+    splitter = EventSplitter()
+    replica = attempt.placement.first.id
+    engine = call.service.engine or ANY_ENGINE
+    quiet_s = first_s
+    channel = attempt.channel
+    while True:
+        try:
+            data = await channel.wait_for(channel.next_chunk, quiet_s, more)
+        except ChannelBroken as broken:
+            raise make_failure(broken, is_written=True) from broken
+        if data is None:
+            break
+        progress.at_s = read_clock()
+        relay.board.hear(replica, now_s=progress.at_s)
+        for event in splitter.split(data):
+            await _pass_event(call, reply, progress, event)
+            quiet_s = SILENCE_S + pass_s(engine, 1)
+    if splitter.rest.strip():
+        raise AttemptFailed(Cause.BROKEN, "ended within an event", may_have_run=True)
+
+
+async def _pass_event(call, reply, progress, event):
+    """Pass one event on unless the caller has it.
+
+    Raises
+    ------
+    AttemptFailed
+        If events before it are missing.
+    """
+    number = event.number
+    if number is not None and progress.last_number is not None:
+        if number <= progress.last_number:
+            return
+        if number > progress.last_number + 1:
+            raise AttemptFailed(
+                Cause.WRONG_ANSWER,
+                f"event {number} follows {progress.last_number}",
+                may_have_run=True,
+            )
+    await reply.write(event.data)
+    progress.events += 1
+    if event.id:
+        progress.last_id = event.id
+        progress.last_number = number
--- /dev/null
+++ b/lycheetide/relay/_tickets.py
@@ -0,0 +1,170 @@
+"""Set memory aside at several replicas for a prompt that is too large for one.
+
+All or nothing: what was got is given back at once where a part is missing, and no
+reservation waits, so two prompts can't hold half each for ever. A reservation holds
+for a few seconds and is renewed; if this node dies, the memory is free soon after.
+"""
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import anyio
+
+from lycheetide.httpclient import ChannelBroken, ConnectFailed
+from lycheetide.placement import Placement, read_s, share_memory
+from lycheetide.placement._choose import HELPERS_MOST, PART_READ_S
+from lycheetide.placement._tickets import needs_sharing
+from lycheetide.relay._place import list_candidates
+from lycheetide.relay._state import read_clock
+from lycheetide.routes import ANY_ENGINE
+
+HOLD_S = 3.5
+"""How long a reservation outlives its last renewal; rules ask for 4 s after the end."""
+RENEW_S = 1.0
+"""Three renewals may be lost before a reservation ends under a request."""
+ORDER_S = 0.6
+"""How long an order may take."""
+TRIES = 4
+BETWEEN_TRIES_S = 0.15
+
+
+class NoMemory(Exception):
+    """The replicas together don't have the memory for a prompt."""
+
+
+@dataclass(frozen=True)
+class Memory:
+    """What is held for a prompt.
+
+    Parameters
+    ----------
+    tickets : tuple of (str, str)
+        Addresses, each with its ticket.
+    placement : Placement or None
+        Where the prompt goes; None where its memory needs no sharing.
+    """
+
+    tickets: tuple[tuple[str, str], ...] = ()
+    placement: Placement | None = None
+
+
+@asynccontextmanager
+async def hold_memory(relay, call):
+    """Hold the memory that a call needs beyond one replica's.
+
+    Yields
+    ------
+    Memory
+
+    Raises
+    ------
+    NoMemory
+        If it can't be had.
+    """
+    engine = call.service.engine or ANY_ENGINE
+    if not needs_sharing(engine, call.size.tokens):
+        yield Memory()
+        return
+    memory, held = await _reserve_all(relay, call, engine)
+    renewal = anyio.CancelScope()
+    relay.tasks.start_soon(_renew, relay, held, renewal)
+    try:
+        yield memory
+    finally:
+        renewal.cancel()
+        for address, ticket, _ in held:
+            relay.tasks.start_soon(_release, relay, address, ticket)
+
+
+async def _reserve_all(relay, call, engine):
+    """Reserve all shares, or none and raise ``NoMemory``."""
+    without = set()
+    for _ in range(TRIES):
+        candidates = [
+            one for one in list_candidates(relay, call) if one.id not in without
+        ]
+        first, shares = share_memory(engine, call.size.tokens, candidates)
+        if first is None:
+            raise NoMemory(f"{call.size.tokens} tokens at {len(candidates)} replicas")
+        job = relay.next_job()
+        wanted = [
+            (share.replica, f"{relay.node}/{job}/{place}", share.tokens)
+            for place, share in enumerate(shares)
+        ]
+        results: dict[str, bool] = {}
+        async with anyio.create_task_group() as group:
+            for replica, ticket, tokens in wanted:
+                group.start_soon(_reserve, relay, replica, ticket, tokens, results)
+        held = [(one.address, ticket, tokens) for one, ticket, tokens in wanted]
+        if all(results.values()):
+            tickets = tuple((address, ticket) for address, ticket, _ in held)
+            return Memory(
+                tickets, _place(engine, call, first, shares, candidates)
+            ), held
+        for replica, ticket, _ in wanted:
+            if not results[ticket]:
+                without.add(replica.id)
+            relay.tasks.start_soon(_release, relay, replica.address, ticket)
+        relay.counters.add("tickets.refused")
+        await anyio.sleep(BETWEEN_TRIES_S * (1 + relay.random.random()))
+    raise NoMemory(f"{call.size.tokens} tokens: reservations were refused")
+
+
+def _place(engine, call, first, shares, candidates):
+    """Return where the prompt goes: the holders, and further ones to read faster."""
+    holders = [share.replica for share in shares]
+    taken = {first.id, *(holder.id for holder in holders)}
+    others = sorted(
+        (one for one in candidates if one.id not in taken and not one.is_recovering),
+        key=lambda one: (one.backlog_s, one.short_writers, -one.rank),
+    )
+    whole_s = read_s(engine, call.size.prompt_tokens)
+    wanted = min(HELPERS_MOST, round(whole_s / PART_READ_S)) - len(holders)
+    helpers = tuple(others[: max(0, wanted)])
+    part_s = whole_s / (1 + len(holders) + len(helpers))
+    last_s = max(one.backlog_s for one in (first, *holders, *helpers))
+    return Placement(first, helpers, last_s + part_s + 0.1, part_s)
+
+
+async def _order(relay, outgoing, address):
+    """Send an order; return its status, or 0 where there was no answer."""
+    try:
+        with anyio.fail_after(ORDER_S):
+            channel = await relay.pool.open(
+                address, timeout_s=ORDER_S, now_s=read_clock()
+            )
+            try:
+                head = await channel.request(outgoing, timeout_s=ORDER_S)
+                await channel.read_all(timeout_s=ORDER_S)
+            except BaseException:
+                await channel.aclose()
+                raise
+            await relay.pool.give_back(channel, now_s=read_clock())
+            return head.status
+    except (ConnectFailed, ChannelBroken, TimeoutError) as error:
+        relay.log.info(
+            "An order got no answer.", extra={"address": address, "cause": str(error)}
+        )
+        relay.counters.add("orders.unanswered")
+        return 0
+
+
+async def _reserve(relay, replica, ticket, tokens, results):
+    """Reserve at one replica."""
+    order = relay.adapter.encode_reserve(replica.address, ticket, tokens, HOLD_S)
+    results[ticket] = await _order(relay, order, replica.address) == 200
+
+
+async def _renew(relay, held, scope):
+    """Renew reservations until the scope is cancelled."""
+    with scope:
+        while True:
+            await anyio.sleep(RENEW_S)
+            for address, ticket, tokens in held:
+                order = relay.adapter.encode_reserve(address, ticket, tokens, HOLD_S)
+                relay.tasks.start_soon(_order, relay, order, address)
+
+
+async def _release(relay, address, ticket):
+    """Give a reservation back; one that isn't reached ends by itself."""
+    await _order(relay, relay.adapter.encode_release(address, ticket), address)
--- /dev/null
+++ b/lycheetide/replicas/__init__.py
@@ -0,0 +1,5 @@
+"""The replicas that take requests: what they say of themselves, and since when."""
+
+from lycheetide.replicas._table import Change, Entry, Replica, ReplicaTable
+
+__all__ = ["Change", "Entry", "Replica", "ReplicaTable"]
--- a/lycheetide/settings/__init__.py
+++ b/lycheetide/settings/__init__.py
@@ -1,7 +1,15 @@
-"""A node's settings: an INI file, checked in one place."""
+"""Settings of one node: an INI file, checked as a whole."""
 
 from lycheetide.settings._findings import Finding, SettingsError
 from lycheetide.settings._read import read_settings
+from lycheetide.settings._relay import RelaySettings
 from lycheetide.settings._schema import FIELDS, Settings
 
-__all__ = ["FIELDS", "Finding", "Settings", "SettingsError", "read_settings"]
+__all__ = [
+    "FIELDS",
+    "Finding",
+    "RelaySettings",
+    "Settings",
+    "SettingsError",
+    "read_settings",
+]
--- a/lycheetide/settings/_checks.py
+++ b/lycheetide/settings/_checks.py
@@ -40,6 +40,17 @@
     return address(text) if text else ""
 
 
+def address_list(text):
+    """Read addresses with commas between them, or nothing.
+
+    Examples
+    --------
+    >>> address_list("10.0.0.1:80, 10.0.0.2:80")
+    ('10.0.0.1:80', '10.0.0.2:80')
+    """
+    return tuple(address(part.strip()) for part in text.split(",") if part.strip())
+
+
 def path_or_empty(text):
     """Read a path as it stands."""
     return text
--- a/lycheetide/settings/_read.py
+++ b/lycheetide/settings/_read.py
@@ -5,8 +5,12 @@
 from typing import Any
 
 from lycheetide.settings._findings import Finding, SettingsError
+from lycheetide.settings._relay import RELAY_FIELDS, RelaySettings
 from lycheetide.settings._schema import FIELDS, Settings
 
+RELAY_SECTION = "relay"
+"""A file that has this section is a relay's."""
+
 _SECTION_LINE = re.compile(r"\s*\[(?P<name>[^]]+)\]")
 _KEY_LINE = re.compile(r"\s*(?P<name>[^#;=:\s][^=:]*?)\s*[=:]")
 
@@ -21,8 +25,8 @@
 
     Returns
     -------
-    Settings
-        The checked settings.
+    Settings or RelaySettings
+        The checked settings; a relay's if the file has its section.
 
     Raises
     ------
@@ -39,16 +43,19 @@
         finding = Finding(str(path), "", "", line, str(error), "an INI file")
         raise ExceptionGroup("broken settings", [SettingsError(finding)]) from None
     lines = _find_lines(text)
-    findings = list(_find_unknown(parser, lines, path))
+    is_relay = parser.has_section(RELAY_SECTION)
+    fields = RELAY_FIELDS if is_relay else FIELDS
+    findings = list(_find_unknown(parser, fields, lines, path))
     values: dict[str, Any] = {}
-    for field in FIELDS:
+    for field in fields:
         _read_field(parser, field, lines, path, values, findings)
-    findings.extend(_find_conflicts(values, lines, path))
+    if not is_relay:
+        findings.extend(_find_conflicts(values, lines, path))
     if findings:
         raise ExceptionGroup(
             "broken settings", [SettingsError(finding) for finding in findings]
         )
-    return Settings(**values)
+    return RelaySettings(**values) if is_relay else Settings(**values)
 
 
 def _find_lines(text):
@@ -67,9 +74,9 @@
     return lines
 
 
-def _find_unknown(parser, lines, path):
+def _find_unknown(parser, fields, lines, path):
     """Yield a finding for each key that no field declares."""
-    known = {(field.section, field.key) for field in FIELDS}
+    known = {(field.section, field.key) for field in fields}
     for section in parser.sections():
         for key in parser[section]:
             if (section, key) not in known:
--- a/lycheetide/settings/_schema.py
+++ b/lycheetide/settings/_schema.py
@@ -73,7 +73,7 @@
     required: bool = False
 
 
-def _level(text):
+def level(text):
     """Read the name of a log level."""
     if text not in {"DEBUG", "INFO", "WARNING", "ERROR"}:
         raise ValueError("DEBUG, INFO, WARNING or ERROR")
@@ -93,7 +93,7 @@
     Field("platform", "hosts_url", url, required=True),
     Field("metrics", "statsd_address", optional_address),
     Field("metrics", "statsd_prefix", identifier),
-    Field("logs", "log_level", _level),
+    Field("logs", "log_level", level),
     Field("membership", "heartbeat_interval_s", between(0.05, 60.0)),
     Field("membership", "heartbeat_fanout", at_least(1)),
     Field("membership", "lease_s", between(0.2, 120.0)),
