--- a/lycheetide/placement/_choose.py
+++ b/lycheetide/placement/_choose.py
@@ -226,7 +226,6 @@
 
 def _choose_long(engine, size, whole_s, fitting, candidates):
     """Spread a long prompt over as many replicas as it gains by."""
-
     first = min(
         fitting,
         key=lambda one: (_expect(engine, one, whole_s) + one.disturbed_s, -one.rank),
