Let the next member stand in for an owner that dies while the log is out

Cause: with the log out no view can be written, so the cell of a killed owner had none; each prompt waited out its 20 s and ended as not run.

Change: members depose a silent member; when most have and its lease has run out, the next in the cell's order acts. A deposed member still counts as fresh for callers.

Ruled out: the new host itself (it is ready and knows the owner); waiting longer.

--- a/lycheetide/membership/_evidence.py
+++ b/lycheetide/membership/_evidence.py
@@ -55,6 +55,8 @@
         configuration that it has in force.
     cells : tuple of CellSummary
         The cells that it owns.
+    deposed : tuple of str
+        Members of its view whom it won't help to act as owners any more.
     """
 
     member: Member
@@ -64,6 +66,7 @@
     settled_number: int
     config_version: int
     cells: tuple[CellSummary, ...] = ()
+    deposed: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -100,7 +103,9 @@
     return merged
 
 
-def is_majority_heard(view, evidence: Mapping, *, own_id, now_s, within_s):
+def is_majority_heard(
+    view, evidence: Mapping, *, own_id, now_s, within_s, as_owner=False
+):
     """Tell whether most members of a view lately knew no later one.
 
     Parameters
@@ -113,6 +118,9 @@
         This node, which counts itself if it is a member.
     now_s, within_s : float
         The present time and how old evidence may be.
+    as_owner : bool, default=False
+        Whether members that have deposed this node are left out: they help it to
+        know what is in force, but not to act.
 
     Returns
     -------
@@ -127,6 +135,8 @@
         known = evidence.get(member.member_id)
         if known is None or known.row.view_number > view.number:
             continue
+        if as_owner and own_id in known.row.deposed:
+            continue
         if now_s - known.at_s <= within_s:
             heard += 1
     return heard * 2 > len(view.members)
--- a/lycheetide/membership/_owner.py
+++ b/lycheetide/membership/_owner.py
@@ -25,7 +25,18 @@
     return sorted(members, key=weight, reverse=True)
 
 
-def choose_owner(cell, view):
-    """Return the member that owns ``cell`` in ``view``, or None."""
-    ranked = rank_members(cell, view.members)
+def choose_owner(cell, view, *, without=frozenset()):
+    """Return the member that owns ``cell`` in ``view``, or None.
+
+    Parameters
+    ----------
+    cell : str
+        The cell's name.
+    view : View
+        The members.
+    without : set of str
+        Ids of members that can't act any more; the next in order stands in.
+    """
+    present = (m for m in view.members if m.member_id not in without)
+    ranked = rank_members(cell, present)
     return ranked[0] if ranked else None
--- a/lycheetide/membership/_state.py
+++ b/lycheetide/membership/_state.py
@@ -2,8 +2,9 @@
 
 import itertools
 
+from lycheetide.membership._deputies import Deputies
 from lycheetide.membership._evidence import Row, is_majority_heard, merge_rows
-from lycheetide.membership._owner import choose_owner
+from lycheetide.membership._owner import choose_owner, rank_members
 from lycheetide.membership._propose import is_proposer, propose_members
 from lycheetide.membership._view import NO_VIEW, fold_view
 
@@ -43,6 +44,7 @@
         self.settled_number = 0
         self.settling_since_s = {}
         self._owners = {}
+        self.deputies = Deputies(own_id=own.member_id, lease_s=lease_s)
         self.view_since_s = {}
 
     @property
@@ -66,6 +68,7 @@
             self.settled_number = view.number
         self.views.append(view)
         self._owners = {}
+        self.deputies.begin_view()
         self.view_since_s[view.number] = now_s
         return True
 
@@ -82,8 +85,16 @@
             self.settled_number = max(self.settled_number, told)
         self.settle(now_s=now_s)
 
+    def depose_silent(self, *, now_s, silent_s):
+        """Stop helping members that were silent for long to act as owners."""
+        self.deputies.depose_silent(
+            self.view, self.evidence, now_s=now_s, silent_s=silent_s
+        )
+
     def settle(self, *, now_s):
-        """Find out how far earlier views have run out."""
+        """Find out how far earlier views have run out, and who stands in for whom."""
+        if self.deputies.refresh(self.view, self.evidence, now_s=now_s):
+            self._owners = {}
         views = [v for v in self.views if v.number >= self.settled_number]
         for earlier, later in itertools.pairwise(views):
             if not self._has_run_out(earlier, later, now_s):
@@ -113,9 +124,9 @@
         """Tell whether this node may act as an owner."""
         if self.view.find(self.own.member_id) is None:
             return False
-        return self.is_majority_heard(now_s=now_s)
+        return self.is_majority_heard(now_s=now_s, as_owner=True)
 
-    def is_majority_heard(self, *, now_s):
+    def is_majority_heard(self, *, now_s, as_owner=False):
         """Tell whether most members are lately heard, none with a later view."""
         return is_majority_heard(
             self.view,
@@ -123,20 +134,32 @@
             own_id=self.own.member_id,
             now_s=now_s,
             within_s=self.lease_s,
+            as_owner=as_owner,
         )
 
     def find_owner(self, cell):
         """Return the owner of a cell in the newest view, or None."""
         if cell not in self._owners:
-            self._owners[cell] = choose_owner(cell, self.view)
+            self._owners[cell] = choose_owner(
+                cell, self.view, without=self.deputies.out
+            )
         return self._owners[cell]
 
     def find_earlier_owners(self, cell):
         """Return the members that may have owned a cell since the settled view."""
         owners = [choose_owner(cell, view) for view in self.views[:-1]]
+        owners.extend(self._find_deposed_owners(cell))
         present = self.find_owner(cell)
         return {m.member_id: m for m in owners if m is not None and m != present}
 
+    def _find_deposed_owners(self, cell):
+        """Yield those members of the view that come before the present owner."""
+        present = self.find_owner(cell)
+        for member in rank_members(cell, self.view.members):
+            if member == present:
+                return
+            yield member
+
     def is_settled(self):
         """Tell whether no owner of an earlier view can still act."""
         return self.settled_number == self.view.number
@@ -145,7 +168,7 @@
         """Return what this node tells a peer: itself and what it has heard."""
         own = Row(
             self.own, 0, state, self.view.number, self.settled_number, config_version,
-            tuple(cells),
+            tuple(cells), tuple(sorted(self.deputies.deposed)),
         )  # fmt: skip
         yield own
         for known in self.evidence.values():
@@ -155,7 +178,7 @@
             row = known.row
             yield Row(
                 row.member, age_ms, row.state, row.view_number, row.settled_number,
-                row.config_version, row.cells,
+                row.config_version, row.cells, row.deposed,
             )  # fmt: skip
 
     def propose(self, hosts, *, own_state, now_s):
--- /dev/null
+++ b/lycheetide/membership/tests/test_deputies.py
@@ -0,0 +1,127 @@
+"""Members that die while no view can be written."""
+
+import pytest
+
+from lycheetide.membership import Member, Membership, View
+from lycheetide.membership._evidence import Row
+
+LEASE_S = 2.0
+SILENT_S = 2.5
+NAMES = ("a", "b", "c", "d", "e")
+
+
+def make_members(names):
+    return tuple(Member(name, "1", f"10.0.0.{ord(name)}:1", "z") for name in names)
+
+
+def make_node(own, members):
+    node = Membership(own, lease_s=LEASE_S, suspect_s=2.0)
+    node.take_view(View(1, members), now_s=0.0)
+    return node
+
+
+class Fleet:
+    """Members of one view that hear one another, without a network."""
+
+    def __init__(self, count):
+        self.members = make_members(NAMES[:count])
+        self.nodes = {m.member_id: make_node(m, self.members) for m in self.members}
+        self.dead = set()
+
+    def talk(self, now_s):
+        """Let each living member ask all living ones, then look for silence."""
+        for asker in self.living():
+            for told in self.living():
+                if told is asker:
+                    continue
+                rows = list(
+                    told.make_rows(
+                        state="serving", config_version=1, cells=(), now_s=now_s
+                    )
+                )
+                asker.take_rows(rows, asked_s=now_s, now_s=now_s)
+            asker.depose_silent(now_s=now_s, silent_s=SILENT_S)
+            asker.settle(now_s=now_s)
+
+    def living(self):
+        return [n for name, n in self.nodes.items() if name not in self.dead]
+
+    def run(self, start_s, end_s):
+        """Let them talk ten times a second and return who may act for the cell when."""
+        acting = []
+        for step in range(round((end_s - start_s) * 10)):
+            now_s = start_s + step / 10
+            self.talk(now_s)
+            for node in self.nodes.values():
+                if node.find_owner("cell") == node.own and node.is_acting(now_s=now_s):
+                    acting.append((now_s, node.own.member_id))
+        return acting
+
+
+@pytest.mark.parametrize("count", [3, 4, 5])
+def test_the_next_member_stands_in_for_a_dead_owner(count):
+    """The owner dies while the log is out, so no view can leave it out.
+
+    Its prompts would wait for it until their time is up.
+    """
+    fleet = Fleet(count)
+    before = fleet.run(0.0, 3.0)
+    (owner,) = {name for _, name in before}
+    fleet.dead.add(owner)
+    after = fleet.run(3.0, 12.0)
+    late = {name for at_s, name in after if at_s > 10.0}
+    assert len(late) == 1
+    assert late != {owner}
+    living = [node.find_owner("cell").member_id for node in fleet.living()]
+    assert set(living) == late
+
+
+@pytest.mark.parametrize("count", [3, 4, 5])
+def test_an_owner_that_was_only_frozen_never_acts_beside_its_deputy(count):
+    """The owner is frozen for long and goes on with what it believed before.
+
+    If both granted, a cold replica would get twice what it bears.
+    """
+    fleet = Fleet(count)
+    (owner,) = {name for _, name in fleet.run(0.0, 3.0)}
+    fleet.dead.add(owner)
+    during = fleet.run(3.0, 12.0)
+    fleet.dead.clear()
+    acting = during + fleet.run(12.0, 16.0)
+    by_time: dict[float, set] = {}
+    for at_s, name in acting:
+        by_time.setdefault(at_s, set()).add(name)
+    assert max(len(names) for names in by_time.values()) == 1
+    assert owner not in {name for at_s, name in acting if at_s > 12.0}
+
+
+def test_a_minority_never_stands_in():
+    """A member that is cut off from all others takes them for dead.
+
+    It must not act for their cells, since they go on serving.
+    """
+    fleet = Fleet(3)
+    fleet.run(0.0, 3.0)
+    alone = next(
+        node for node in fleet.nodes.values() if node.find_owner("cell") != node.own
+    )
+    for step in range(200):
+        now_s = 3.0 + step / 10
+        alone.depose_silent(now_s=now_s, silent_s=SILENT_S)
+        alone.settle(now_s=now_s)
+        assert not alone.is_acting(now_s=now_s) or step < LEASE_S * 10
+        assert alone.find_owner("cell") != alone.own
+
+
+def test_a_new_view_gives_a_deposed_member_its_cells_back():
+    """The log is back and names the member that was silent for a while."""
+    fleet = Fleet(3)
+    (owner,) = {name for _, name in fleet.run(0.0, 3.0)}
+    fleet.dead.add(owner)
+    fleet.run(3.0, 12.0)
+    fleet.dead.clear()
+    for node in fleet.nodes.values():
+        node.take_view(View(2, fleet.members), now_s=12.0)
+    acting = fleet.run(12.0, 20.0)
+    assert {name for at_s, name in acting if at_s > 16.0} == {owner}
+    assert Row(fleet.members[0], 0, "serving", 1, 1, 1).deposed == ()
--- a/lycheetide/node/_members.py
+++ b/lycheetide/node/_members.py
@@ -12,6 +12,10 @@
 
 PULL_S = 1.0
 PROPOSE_INTERVAL_S = 0.3
+DEPOSE_LOG_S = 1.5
+"""A log that gave no answer for so long may not take a new view in time."""
+DEPOSE_EXTRA_S = 0.5
+"""Silence beyond what makes a member suspect, so that a view comes first if it can."""
 
 log = get_log("member")
 
@@ -86,15 +90,33 @@
     if reply.view is not None and node.membership.take_view(reply.view, now_s=now_s):
         on_change()
     rows = [row for row in reply.rows if row.member.member_id != node.own_id]
+    out = node.membership.deputies.out
     node.membership.take_rows(rows, asked_s=asked_s, now_s=now_s)
+    if node.membership.deputies.out != out:
+        on_change()
+
 
+async def propose_views(node, on_change):
+    """Propose a view when the members that are heard differ from it, for ever.
 
-async def propose_views(node):
-    """Propose a view when the members that are heard differ from it, for ever."""
+    Parameters
+    ----------
+    node : NodeState
+        The node.
+    on_change : callable
+        Called when others stand in for members that can't act.
+    """
     while True:
         await anyio.sleep(PROPOSE_INTERVAL_S)
         now_s = read_clock()
+        if now_s - node.log_asked_s > DEPOSE_LOG_S:
+            node.membership.depose_silent(
+                now_s=now_s, silent_s=node.settings.suspect_s + DEPOSE_EXTRA_S
+            )
+        out = node.membership.deputies.out
         node.membership.settle(now_s=now_s)
+        if node.membership.deputies.out != out:
+            on_change()
         view = node.membership.view
         members = node.membership.propose(node.hosts, own_state=node.life, now_s=now_s)
         if members is None:
--- a/lycheetide/node/_run.py
+++ b/lycheetide/node/_run.py
@@ -41,6 +41,7 @@
     follow_peers_config,
     follow_views,
     pull_peers,
+    propose_views,
 )
 """The parts that tell of a change of configuration or view."""
 
@@ -173,7 +174,6 @@
     follow_hosts,
     follow_booking_head,
     write_snapshots,
-    propose_views,
     keep_cells,
     poll_reports,
     prove_replicas,
--- a/lycheetide/node/tests/test_domains.py
+++ b/lycheetide/node/tests/test_domains.py
@@ -155,6 +155,35 @@
     print(f"ready after {hosts:.2f} s")
 
 
+def test_the_owner_killed_during_an_outage_of_the_log_is_stood_in_for(own_fleet):
+    """The log is out, and the node that owns the only cell dies.
+
+    No new view can be written then. Without a deputy each prompt would wait for the
+    dead owner until its whole time is up, at every node.
+    """
+    fleet = own_fleet
+    fleet.set_faults("platform", down=True)
+    owners = [
+        name
+        for name in fleet.nodes
+        for cell in fleet.status(name)["cells"]
+        if len(cell["replicas"]) > 3
+    ]
+    fleet.nodes[owners[0]].kill()
+    time.sleep(3.0)
+    living = [node for name, node in fleet.nodes.items() if name != owners[0]]
+    for node in living:
+        answer = ask_prompt(node, 1_000, deadline_s=20.0)
+        assert answer.whole
+    node = fleet.start_node("entry-4", "cork-c")
+    fleet.wait_for(
+        lambda: fleet.try_get(f"{node.url}/readyz") is not None or None,
+        timeout_s=25.0,
+        what="the new host's readiness",
+    )
+    assert ask_prompt(node, 1_000, deadline_s=20.0).whole
+
+
 def test_a_node_that_hears_nobody_stops_offering_itself(own_fleet):
     """A node hears neither the log nor any peer; it can't know what is in force."""
     fleet = own_fleet
