Write logs to standard output without ever waiting, and serve histograms

Cause: logs went to standard error through a stream that blocks when its reader stops, without a bound on lines; a relay had no latency histograms.

Change: a handler that writes a line only where the pipe takes it at once and within a budget of lines, counts the rest and says so; prometheus-client beside statsd (2.5 MB).

Ruled out: a thread with a queue (one loop on one thread); non-blocking descriptors (the flag is shared with whoever holds the other copies).

Before: a test that fills the pipe waits for ever. After: 5,000 lines into a full pipe return, the count of lines left out is written once the reader is back.

--- a/lycheetide/cli/_main.py
+++ b/lycheetide/cli/_main.py
@@ -62,7 +62,11 @@
         from lycheetide import platform
         from lycheetide.relay import run_relay
 
-        set_up_logs(level=settings.log_level, node=settings.name)
+        set_up_logs(
+            level=settings.log_level,
+            node=settings.name,
+            lines_per_s=settings.log_lines_per_s,
+        )
         anyio.run(run_relay, settings, platform)
 
     @staticmethod
--- a/lycheetide/membership/_deputies.py
+++ b/lycheetide/membership/_deputies.py
@@ -30,8 +30,8 @@
     def __init__(self, *, own_id, lease_s):
         self.own_id = own_id
         self.lease_s = lease_s
-        self.deposed = set()
-        self.out = frozenset()
+        self.deposed: set[str] = set()
+        self.out: frozenset[str] = frozenset()
         self._most_since_s = {}
 
     def begin_view(self):
--- a/lycheetide/metrics/__init__.py
+++ b/lycheetide/metrics/__init__.py
@@ -1,8 +1,7 @@
-"""Counters by statsd and logs by python-json-logger."""
+"""Counters by statsd, histograms by prometheus-client, logs by python-json-logger."""
 
 from lycheetide.metrics._counters import Counters, make_statsd
 from lycheetide.metrics._explain import Explanations, Step
-from lycheetide.metrics._exposition import make_metrics_app
 from lycheetide.metrics._logs import PARTS, get_log, set_up_logs
 
 __all__ = [
@@ -11,7 +10,6 @@
     "Explanations",
     "Step",
     "get_log",
-    "make_metrics_app",
     "make_statsd",
     "set_up_logs",
 ]
--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -46,6 +46,7 @@
     """Read what is new from the store, or else from a peer."""
     source = getattr(relay, name)
     topic = {"operator": relay.adapter.OPERATOR, "registry": relay.adapter.REGISTRY}
+    begun_s = read_clock()
     try:
         batch = await store.read(
             topic[name], source.offset, wait_s=wait_s, timeout_s=CALL_S
@@ -56,6 +57,8 @@
         await anyio.sleep(RETRY_S)
         return
     now_s = read_clock()
+    if wait_s == 0:
+        relay.exposition.observe("store_call", now_s - begun_s, kind=name)
     if not source.is_reachable:
         relay.log.info("The store answers.", extra={"topic": name})
         if now_s - source.read_s > OUTAGE_S:
--- a/lycheetide/relay/_ingress.py
+++ b/lycheetide/relay/_ingress.py
@@ -150,6 +150,8 @@
     else:
         outcome = f"answered.{reply.status}"
     relay.counters.add(f"ended.{outcome}")
+    kind = outcome.partition(".")[0]
+    relay.exposition.observe("request", now_s - request.received_s, kind=kind)
     relay.log.info(
         "A request ended.",
         extra={
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -8,7 +8,6 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
-from lycheetide.metrics import make_metrics_app
 from lycheetide.relay._follow import follow_operator, follow_registry, make_peer_app
 from lycheetide.relay._gossip import Gossip, discover
 from lycheetide.relay._ingress import make_ingress, make_readiness
@@ -74,7 +73,7 @@
             (make_ingress(relay), settings.caller_address, settings.idle_s),
             (make_readiness(relay), settings.readiness_address, 60.0),
             (make_peer_app(relay), settings.peer_address, 60.0),
-            (make_metrics_app(relay.counters), settings.metrics_address, 60.0),
+            (relay.exposition.make_app(), settings.metrics_address, 60.0),
         )
         for app, address, idle_s in apps:
             if address:
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -8,6 +8,7 @@
 from lycheetide.board import Board, Peers
 from lycheetide.httpclient import ChannelPool
 from lycheetide.metrics import Counters, get_log, make_statsd
+from lycheetide.metrics._exposition import Exposition
 from lycheetide.placement import SHORT_READ_S, Candidate, RetryWindow, rank_replicas
 from lycheetide.replicas import ReplicaTable
 from lycheetide.routes import RouteTable
@@ -64,6 +65,7 @@
         self.counters = Counters(
             make_statsd(settings.statsd_address, settings.statsd_prefix)
         )
+        self.exposition = Exposition(self.counters)
         self.random = random.Random(node)
         self.table: RouteTable | None = None
         self.closed: frozenset[str] = frozenset()
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -44,12 +44,15 @@
         When something last came from the present replica.
     events : int
         Events passed on.
+    passed_s : float
+        When the last of them was.
     """
 
     last_id: bytes = b""
     last_number: int | None = None
     at_s: float = 0.0
     events: int = 0
+    passed_s: float = 0.0
 
 
 async def serve_stream(relay, call, reply):
@@ -206,13 +209,13 @@
         progress.at_s = read_clock()
         relay.board.hear(replica, now_s=progress.at_s)
         for event in splitter.split(data):
-            await _pass_event(call, reply, progress, event)
+            await _pass_event(relay, call, reply, progress, event)
             quiet_s = SILENCE_S + pass_s(engine, 1)
     if splitter.rest.strip():
         raise AttemptFailed(Cause.BROKEN, "ended within an event", may_have_run=True)
 
 
-async def _pass_event(call, reply, progress, event):
+async def _pass_event(relay, call, reply, progress, event):
     """Pass one event on unless the caller has it.
 
     Raises
@@ -231,6 +234,13 @@
                 may_have_run=True,
             )
     await reply.write(event.data)
+    now_s = read_clock()
+    if progress.events == 0:
+        since_s = now_s - call.request.received_s
+        relay.exposition.observe("first_event", since_s, kind="stream")
+    else:
+        relay.exposition.observe("pause", now_s - progress.passed_s, kind="stream")
+    progress.passed_s = now_s
     progress.events += 1
     if event.id:
         progress.last_id = event.id
