Test the relay against small stand-ins of the platform's store and replicas

Change: standins/store.py, replica.py, http.py and relayed.py (one loop, raw bytes, so that replicas can misbehave); 57 tests. The servers end by themselves at a planned stop: cancelled, hypercorn raised an error of its own. A first reading isn't a return from an outage, after which removals were believed two seconds late.

Ruled out: separate processes for all of them (0.5 s each instead of 0.1).

Before: no test. After: 57 pass.

--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -61,7 +61,7 @@
         relay.exposition.observe("store_call", now_s - begun_s, kind=name)
     if not source.is_reachable:
         relay.log.info("The store answers.", extra={"topic": name})
-        if now_s - source.read_s > OUTAGE_S:
+        if source.offset >= 0 and now_s - source.read_s > OUTAGE_S:
             source.returned_s = now_s
     source.is_reachable = True
     take(relay, name, batch, now_s=now_s)
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -14,13 +14,14 @@
 from lycheetide.relay._state import RelayState, read_clock
 from lycheetide.tasks import GuardedTasks, keep_running
 
-NOTICE_S = 3.2
-"""How long the balancer may go on sending callers after a node said it isn't ready:
-two questions, one a second, and the way there."""
 STOP_TICK_S = 0.05
 EXIT_MARGIN_S = 0.7
 """Kept back of the time that a planned stop may take, for the exit itself."""
 BACKLOG = 512
+OWN_IDLE_S = 60.0
+"""How long connections of the platform and of peers may stay idle."""
+GRACEFUL_S = 0.3
+"""How long the servers wait for answers that are being written at the very end."""
 
 
 def make_server_config(address, *, idle_s, header_bytes=65_536):
@@ -35,12 +36,12 @@
     config.keep_alive_max_requests = 1 << 30
     config.h11_max_incomplete_size = header_bytes
     config.h11_pass_raw_headers = False
-    config.graceful_timeout = 0.3
+    config.graceful_timeout = GRACEFUL_S
     config.backlog = BACKLOG
     return config
 
 
-async def run_relay(settings, adapter):
+async def run_relay(settings, adapter, *, wait_for_stop=None, on_start=None):
     """Run a relay until it is told to stop.
 
     Parameters
@@ -49,6 +50,11 @@
         What it is told.
     adapter : module
         Speaks with the platform that it runs on.
+    wait_for_stop : callable or None
+        A coroutine function of the relay that returns when it is to stop; None waits
+        for the signals of a process.
+    on_start : callable or None
+        Gets the relay's state.
     """
     node = f"{settings.name}.{time.time_ns() % 10**9:x}.{os.getpid():x}"
     relay = RelayState(settings, adapter, node)
@@ -58,7 +64,7 @@
     relay.send_datagram = gossip.tell
     relay.tell_news = gossip.tell_news
     stopped = anyio.Event()
-    async with anyio.create_task_group() as group:
+    async with anyio.create_task_group() as servers, anyio.create_task_group() as group:
         relay.tasks = GuardedTasks(group, relay.counters)
         for part in (
             follow_operator,
@@ -69,31 +75,39 @@
         ):
             group.start_soon(keep_running, relay, part)
         relay.tasks.start_soon(discover, relay)
-        apps = (
-            (make_ingress(relay), settings.caller_address, settings.idle_s),
-            (make_readiness(relay), settings.readiness_address, 60.0),
-            (make_peer_app(relay), settings.peer_address, 60.0),
-            (relay.exposition.make_app(), settings.metrics_address, 60.0),
-        )
-        for app, address, idle_s in apps:
-            if address:
-                config = make_server_config(address, idle_s=idle_s)
-                group.start_soon(_serve, app, config, stopped)
+        for app, address, idle_s in list_apps(relay):
+            config = make_server_config(address, idle_s=idle_s)
+            servers.start_soon(_serve, app, config, stopped)
         relay.log.info("The node has started.", extra={"member": node})
-        await _wait_for_stop(relay)
+        if on_start is not None:
+            on_start(relay)
+        await (wait_for_stop or _wait_for_signal)(relay)
         await _leave(relay)
+        # The servers end by themselves: cancelled, they would cut what they write.
         stopped.set()
-        await anyio.sleep(0.1)
         group.cancel_scope.cancel()
+    await relay.pool.aclose()
     relay.log.info("The node has stopped.", extra={"member": node})
 
 
+def list_apps(relay):
+    """Return each application of a relay with its address and idle time."""
+    settings = relay.settings
+    apps = (
+        (make_ingress(relay), settings.caller_address, settings.idle_s),
+        (make_readiness(relay), settings.readiness_address, OWN_IDLE_S),
+        (make_peer_app(relay), settings.peer_address, OWN_IDLE_S),
+        (relay.exposition.make_app(), settings.metrics_address, OWN_IDLE_S),
+    )
+    return [row for row in apps if row[1]]
+
+
 async def _serve(app, config, stopped):
     """Serve one application until the node has stopped."""
     await serve(app, config, shutdown_trigger=stopped.wait)
 
 
-async def _wait_for_stop(relay):
+async def _wait_for_signal(relay):
     """Wait for SIGTERM or SIGINT; SIGHUP tells of a settings file that changed."""
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
@@ -117,6 +131,6 @@
     begun_s = read_clock()
     longest_s = relay.settings.stop_s - EXIT_MARGIN_S
     while (passed_s := read_clock() - begun_s) < longest_s:
-        if passed_s >= NOTICE_S and relay.active == 0:
+        if passed_s >= relay.settings.stop_notice_s and relay.active == 0:
             return
         await anyio.sleep(STOP_TICK_S)
--- /dev/null
+++ b/lycheetide/relay/tests/test_answers.py
@@ -0,0 +1,234 @@
+"""Each caller gets the whole answer to its own request, and "not run" is true."""
+
+import anyio
+import httpx
+import pytest
+
+from standins.relayed import CUSTOMER, KEY, Relayed, make_config
+from standins.replica import make_event
+
+pytestmark = pytest.mark.anyio
+
+WHOLE = b"".join(make_event(number) for number in range(1, 5))
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def test_a_request_reaches_a_replica_as_it_came():
+    async with Relayed() as fleet:
+        answer = await fleet.look(
+            path="/look/a%20b/?q=1&r=%2f", **{"x-own": "kept", "connection": "x-hop",
+                                              "x-hop": "1"}
+        )  # fmt: skip
+        (request,) = fleet.seen()
+    assert answer.status_code == 200
+    assert answer.headers["lycheetide-response-seal"]
+    assert request.target == "/look/a%20b/?q=1&r=%2f"
+    assert request.headers["x-own"] == "kept"
+    assert request.headers["lycheetide-tenant"] == CUSTOMER
+    assert "lycheetide-credential" not in request.headers
+    assert KEY not in str(request.headers)
+    assert "x-hop" not in request.headers
+    assert 0 < int(request.headers["lycheetide-deadline-ms"]) <= 3_000
+
+
+async def test_a_customer_cannot_be_claimed():
+    async with Relayed() as fleet:
+        await fleet.look(**{"lycheetide-tenant": "another"})
+        (request,) = fleet.seen()
+    assert request.headers["lycheetide-tenant"] == CUSTOMER
+
+
+async def test_a_stream_passes_whole():
+    async with Relayed() as fleet:
+        answer = await fleet.stream()
+    assert answer.content == WHOLE
+
+
+@pytest.mark.parametrize("step", ["break", "stall"])
+async def test_a_stream_that_breaks_off_goes_on_elsewhere(step):
+    """A replica dies, or goes silent, in the middle of an event.
+
+    The caller must see each event once and in order, and no half of one.
+    """
+    async with Relayed() as fleet:
+        for replica in fleet.replicas:
+            replica.script = []
+        fleet.replicas[0].script = [step]
+        fleet.replicas[1].script = [step]
+        answer = await fleet.stream()
+        resumed = [
+            request.headers["last-event-id"]
+            for request in fleet.seen()
+            if "last-event-id" in request.headers
+        ]
+    assert answer.content == WHOLE
+    assert resumed == ["2"]
+    assert len(fleet.runs()) == 2
+
+
+async def test_a_stream_that_may_not_be_resumed_never_looks_whole():
+    """A stream that may run once only breaks off in the middle.
+
+    An orderly end of the connection would pass a half for the whole.
+    """
+    async with Relayed() as fleet:
+        for replica in fleet.replicas:
+            replica.script = ["break"]
+        with pytest.raises(httpx.RemoteProtocolError):
+            await fleet.stream(path="/stream-once/s")
+        assert len(fleet.runs()) == 1
+
+
+@pytest.mark.parametrize("step", ["reset", "garbled", "crossed", "break"])
+async def test_a_booking_whose_answer_is_lost_is_never_called_not_run(step):
+    """The replica has run the booking, and its answer is lost or spoilt.
+
+    Told that it has not run, the caller would book again.
+    """
+    async with Relayed() as fleet:
+        for replica in fleet.replicas:
+            replica.always = step
+        answer = await fleet.book()
+    assert answer.status_code == 502
+    assert len(fleet.runs()) == 1
+
+
+async def test_a_booking_that_stays_unanswered_ends_in_time():
+    """The replica takes the booking and says nothing."""
+    async with Relayed() as fleet:
+        for replica in fleet.replicas:
+            replica.always = "silent"
+        with anyio.fail_after(1.0):
+            answer = await fleet.book(deadline_ms=500)
+    assert answer.status_code == 504
+    assert len(fleet.runs()) == 1
+
+
+@pytest.mark.parametrize("step", ["refuse", "other"])
+async def test_a_refused_booking_may_come_back(step):
+    """The only replica that it may be sent to refuses it before starting."""
+    async with Relayed() as fleet:
+        for replica in fleet.replicas:
+            replica.always = step
+        answer = await fleet.book()
+    assert answer.status_code == 503
+    assert 0 < float(answer.headers["retry-after"]) < 2
+    assert fleet.runs() == []
+
+
+@pytest.mark.parametrize(
+    "step", ["reset", "refuse", "garbled", "crossed", "break", "fail",
+             "unframed-reset", "other"],
+)  # fmt: skip
+async def test_a_lookup_is_repeated_at_another_replica(step):
+    """One replica fails a lookup in one of many ways."""
+    async with Relayed() as fleet:
+        fleet.replicas[0].always = step
+        answers = [await fleet.look() for _ in range(4)]
+    assert [answer.status_code for answer in answers] == [200] * 4
+    assert all(answer.text.startswith("r-1 answers") for answer in answers)
+
+
+async def test_an_answer_without_a_length_is_whole_at_its_end():
+    async with Relayed(replicas=1) as fleet:
+        fleet.replicas[0].always = "unframed"
+        answer = await fleet.look()
+    assert answer.content == b"x" * 300
+
+
+async def test_bytes_behind_an_answer_go_to_nobody():
+    """A replica sends a second answer behind the first one.
+
+    On a kept connection the next caller would get it.
+    """
+    async with Relayed(replicas=1) as fleet:
+        fleet.replicas[0].script = ["extra"]
+        first = await fleet.look()
+        second = await fleet.look()
+        attempts = [
+            request.headers["lycheetide-attempt-id"] for request in fleet.seen()
+        ]
+    assert first.text.endswith(attempts[0])
+    assert second.text.endswith(attempts[1])
+
+
+@pytest.mark.parametrize("path", ["/stream/s", "/look/a"])
+async def test_a_replica_stops_when_its_caller_leaves(path):
+    """A caller closes its connection while a replica works for it."""
+    async with Relayed(replicas=1) as fleet:
+        fleet.replicas[0].always = "silent" if path == "/look/a" else "stall"
+        with anyio.move_on_after(0.3):
+            await (fleet.stream() if path == "/stream/s" else fleet.look())
+        took_s = await fleet.wait_for(
+            lambda: fleet.replicas[0].cancelled_s, timeout_s=2.0
+        )
+    assert took_s < 0.4
+
+
+async def test_a_replica_that_is_not_there_costs_little():
+    """A replica has died; its address refuses connections."""
+    async with Relayed(replicas=2) as fleet:
+        fleet.store.put(
+            "keyed.servers", "dead", fleet.replicas[0].entry(address="127.0.0.1:9")
+        )
+        await fleet.wait_for(lambda: "dead" in fleet.relays[0].replicas.replicas)
+        with anyio.fail_after(2.0):
+            answers = [await fleet.look() for _ in range(6)]
+            answers += [await fleet.stream() for _ in range(6)]
+    assert {answer.status_code for answer in answers} == {200}
+
+
+async def test_what_is_not_allowed_is_refused_at_once():
+    async with Relayed() as fleet:
+        unknown = await fleet.look(path="/nowhere/a")
+        stranger = await fleet.look(key="stolen")
+        headers = fleet.make_headers(tokens="")
+        large = await fleet.http.post(
+            fleet.url("/look/a"), headers=headers, content=b"x" * 20_000
+        )
+    assert unknown.status_code == 404
+    assert stranger.status_code == 401
+    assert large.status_code == 413
+    assert fleet.seen() == []
+
+
+async def test_without_replicas_a_request_is_refused_at_once():
+    """All replicas have left; waiting for the deadline would help nobody."""
+    async with Relayed(replicas=1) as fleet:
+        fleet.store.remove("keyed.servers", "r-0")
+        await fleet.wait_for(
+            lambda: not list(fleet.relays[0].candidates(
+                fleet.relays[0].table.services["models"], now_s=1e9))
+        )  # fmt: skip
+        with anyio.fail_after(0.3):
+            answer = await fleet.stream()
+    assert answer.status_code == 503
+    assert float(answer.headers["retry-after"]) > 0
+
+
+async def test_bytes_that_are_no_request_end_their_connection_only():
+    async with Relayed() as fleet:
+        host, _, port = fleet.relays[0].settings.caller_address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(b"\x00\x01 nonsense\r\n\r\n")
+            with anyio.move_on_after(1.0):
+                await stream.receive()
+        answer = await fleet.look()
+    assert answer.status_code == 200
+
+
+async def test_a_route_without_kinds_of_prompt_keeps_its_own_timeout():
+    """The operator's timeout is shorter than the caller's patience."""
+    config = make_config()
+    config["routes"][2]["timeoutMs"] = 400
+    config["routes"][2]["attempts"] = 1
+    async with Relayed(config=config) as fleet:
+        for replica in fleet.replicas:
+            replica.always = "silent"
+        with anyio.fail_after(0.9):
+            answer = await fleet.look()
+    assert answer.status_code == 504
--- /dev/null
+++ b/lycheetide/relay/tests/test_knowledge.py
@@ -0,0 +1,303 @@
+"""What nodes know of replicas and configurations while the store misbehaves."""
+
+import time
+
+import anyio
+import pytest
+
+from standins.relayed import CUSTOMER, Relayed, make_config
+
+pytestmark = pytest.mark.anyio
+
+NOTICE_S = 2.0
+"""Operators' and replicas' news are in force within this time."""
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def knows(relay, version):
+    return relay.table is not None and relay.table.routing.version >= version
+
+
+async def test_a_new_configuration_is_in_force_everywhere():
+    async with Relayed(relays=2) as fleet:
+        config = make_config(version=7, tenants=[{"name": CUSTOMER, "apiKeys": []}])
+        fleet.store.put("keyed.op", "config", config)
+        took_s = await fleet.wait_for(
+            lambda: all(knows(relay, 7) for relay in fleet.relays)
+        )
+        answers = [await fleet.look(relay=index) for index in range(2)]
+    assert took_s < NOTICE_S
+    assert [answer.status_code for answer in answers] == [401, 401]
+
+
+async def test_an_older_configuration_never_comes_back():
+    """The store's history is dropped and an old record is written again."""
+    async with Relayed() as fleet:
+        fleet.store.put("keyed.op", "config", make_config(version=7))
+        await fleet.wait_for(lambda: knows(fleet.relays[0], 7))
+        fleet.store.compact("keyed.op")
+        fleet.store.put("keyed.op", "config", make_config(version=3, routes=[]))
+        await anyio.sleep(0.3)
+        assert fleet.relays[0].table.routing.version == 7
+        assert (await fleet.look()).status_code == 200
+
+
+@pytest.mark.parametrize("broken", [b"", b"{", b'{"version": 9}', b"\xff\xfe"])
+async def test_a_configuration_that_cannot_be_read_changes_nothing(broken):
+    """A record is torn; a node that ended over it would cut its callers."""
+    async with Relayed() as fleet:
+        fleet.store.put("keyed.op", "config", broken)
+        await anyio.sleep(0.2)
+        assert (await fleet.look()).status_code == 200
+        fleet.store.put("keyed.op", "config", make_config(version=9))
+        await fleet.wait_for(lambda: knows(fleet.relays[0], 9))
+
+
+@pytest.mark.parametrize("down", ["busy", "silent"])
+async def test_a_node_that_the_store_refuses_learns_from_its_peers(down):
+    """The store serves one node and refuses the other, while a key is taken away.
+
+    Otherwise a thief could use the key at the node that was cut off.
+    """
+    async with Relayed(relays=2) as fleet:
+        await fleet.wait_for(
+            lambda: all(relay.peers.alive(now_s=0.0) for relay in fleet.relays)
+        )
+        original = type(fleet.store).answer
+        cut = fleet.relays[1]
+        cut.settings = cut.settings.__class__(
+            **vars(cut.settings) | {"operator_wait_s": 0.0}
+        )
+        store = fleet.store
+
+        async def answer(request):
+            if "waitMs=0" in request.target and "keyed.op" in request.target:
+                store.down, before = down, store.down
+                try:
+                    return await original(store, request)
+                finally:
+                    store.down = before
+            return await original(store, request)
+
+        store.server.handle = answer
+        config = make_config(version=7, tenants=[{"name": CUSTOMER, "apiKeys": []}])
+        store.put("keyed.op", "config", config)
+        took_s = await fleet.wait_for(lambda: knows(cut, 7))
+        answer = await fleet.look(relay=1)
+    assert took_s < NOTICE_S + 1.0
+    assert answer.status_code == 401
+
+
+async def test_a_draining_replica_gets_no_new_work():
+    async with Relayed() as fleet:
+        leaving = fleet.replicas[0]
+        fleet.store.put("keyed.servers", "r-0", leaving.entry(state="draining", seq=2))
+        await fleet.wait_for(
+            lambda: fleet.relays[0].replicas.replicas["r-0"].entry.is_draining
+        )
+        for _ in range(4):
+            assert (await fleet.look()).status_code == 200
+        assert leaving.seen == []
+
+
+async def test_a_failure_domain_taken_out_gets_no_new_work_until_it_is_back():
+    async with Relayed() as fleet:
+        relay = fleet.relays[0]
+        for replica in fleet.replicas:
+            zone = {"r-0": "cork-b", "r-1": "cork-c"}[replica.name]
+            fleet.store.put(
+                "keyed.servers", replica.name, replica.entry(zone=zone, seq=2)
+            )
+        fleet.store.put("keyed.op", "evacuate/cork-b", {})
+        await fleet.wait_for(lambda: "cork-b" in relay.closed)
+        await anyio.sleep(0.2)
+        for _ in range(4):
+            assert (await fleet.look()).status_code == 200
+        assert fleet.replicas[0].seen == []
+        fleet.store.remove("keyed.op", "evacuate/cork-b")
+        await fleet.wait_for(lambda: not relay.closed)
+
+
+async def test_a_domain_taken_back_while_the_history_was_dropped_is_open_again():
+    """The record that takes the domain back is gone before a node reads it."""
+    async with Relayed() as fleet:
+        relay = fleet.relays[0]
+        fleet.store.put("keyed.op", "evacuate/cork-b", {})
+        await fleet.wait_for(lambda: relay.closed)
+        fleet.store.topic("keyed.op").put("evacuate/cork-b", b"")
+        fleet.store.compact("keyed.op")
+        fleet.store.wake()
+        await fleet.wait_for(lambda: not relay.closed)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"\x00\xff", b"[]", b'{"service": 3}', b'{"state": "ready"}',
+     {"state": "stolen"}, {"slots": "many"}, {"service": "nowhere"}],
+)  # fmt: skip
+async def test_an_entry_of_another_writer_names_no_replica(value):
+    """Entries are torn or forged; the others hold, and nothing ends."""
+    async with Relayed() as fleet:
+        if isinstance(value, dict):
+            value = fleet.replicas[0].entry(address="127.0.0.1:9") | value
+        fleet.store.put("keyed.servers", "stranger", value)
+        await anyio.sleep(0.2)
+        service = fleet.relays[0].table.services["models"]
+        names = {one.id for one in fleet.relays[0].candidates(service, now_s=0.0)}
+        answer = await fleet.look()
+    assert names == {"r-0", "r-1"}
+    assert answer.status_code == 200
+
+
+async def test_entries_that_lapsed_in_an_outage_are_kept_until_they_are_back():
+    """The store is out, and the entries of living replicas lapse meanwhile.
+
+    A node that believed it would refuse all callers for seconds.
+    """
+    async with Relayed() as fleet:
+        relay = fleet.relays[0]
+        fleet.store.down = "busy"
+        await fleet.wait_for(lambda: not relay.registry.is_reachable)
+        await anyio.sleep(1.6)
+        for replica in fleet.replicas:
+            fleet.store.remove("keyed.servers", replica.name)
+        fleet.store.down = ""
+        await fleet.wait_for(lambda: relay.registry.is_reachable)
+        await anyio.sleep(0.2)
+        assert (await fleet.look()).status_code == 200
+        fleet.store.put("keyed.servers", "r-0", fleet.replicas[0].entry(seq=9))
+        await anyio.sleep(2.2)
+        service = relay.table.services["models"]
+        now_s = relay.replicas.replicas["r-0"].seen_s + 60.0
+        names = {one.id for one in relay.candidates(service, now_s=now_s)}
+    assert names == {"r-0"}
+
+
+async def test_an_outage_of_the_store_stops_nobody():
+    async with Relayed(relays=2) as fleet:
+        fleet.store.down = "silent"
+        await anyio.sleep(1.5)
+        answers = [await fleet.look(relay=index) for index in range(2)]
+        answers.append(await fleet.stream())
+        ready = [
+            await fleet.http.get(f"http://{relay.settings.readiness_address}/-/ready")
+            for relay in fleet.relays
+        ]
+    assert {answer.status_code for answer in answers + ready} == {200}
+
+
+async def test_a_node_that_starts_in_an_outage_learns_from_its_peers():
+    """All that it knows comes from a peer; until then it takes no callers."""
+    async with Relayed() as fleet:
+        fleet.store.down = "busy"
+        relay = await fleet.start_relay(wait=False)
+        address = fleet.relays[0].settings.peer_address
+        relay.peers.learn(address, now_s=time.monotonic())
+        await fleet.wait_for(lambda: relay.table and relay.replicas.replicas)
+        assert (await fleet.look(relay=1)).status_code == 200
+
+
+async def test_a_node_that_knows_nothing_is_not_ready_and_says_not_run():
+    async with Relayed() as fleet:
+        fleet.store.down = "busy"
+        fleet.relays[0].peers.peers.clear()
+        relay = await fleet.start_relay(wait=False)
+        ready = await fleet.http.get(
+            f"http://{relay.settings.readiness_address}/-/ready"
+        )
+        relay.peers.peers.clear()
+        answer = await fleet.look(relay=1) if relay.table is None else None
+    assert ready.status_code == 503
+    assert answer is None or answer.status_code == 503
+
+
+async def test_a_cold_replica_gets_no_more_than_its_share_from_all_nodes():
+    """A replica has just started; the other is full of work.
+
+    Three nodes that each send it all it bears make it fall over.
+    """
+    config = make_config()
+    async with Relayed(relays=3, replicas=2, config=config) as fleet:
+        await fleet.wait_for(
+            lambda: all(
+                len(relay.peers.alive(now_s=0.0)) == 2 for relay in fleet.relays
+            )
+        )
+        async with anyio.create_task_group() as group:
+            for _ in range(90):
+                for relay in range(3):
+                    group.start_soon(lambda index: fleet.look(relay=index), relay)
+                await anyio.sleep(1 / 90)
+        cold = len(fleet.replicas[0].seen)
+    assert cold <= 20 * 1.5 + 5
+
+
+async def test_memory_of_a_huge_prompt_is_held_while_it_runs_and_then_freed():
+    """The prompt is larger than one replica's memory; several hold it together."""
+    async with Relayed(replicas=4) as fleet:
+        for replica in fleet.replicas:
+            replica.kv_tokens = 100_000
+            replica.events = 30
+            replica.pause_s = 0.05
+        answer = await fleet.stream(tokens="210000,300", deadline_ms=5_000)
+        held = [replica for replica in fleet.replicas if replica.orders]
+        (request,) = fleet.seen()
+        await fleet.wait_for(
+            lambda: not any(replica.tickets for replica in fleet.replicas)
+        )
+        renewed = max(
+            sum(order["operation"] == "reserve" for order in replica.orders)
+            for replica in held
+        )
+    assert answer.status_code == 200
+    assert len(held) >= 2
+    assert renewed >= 2
+    named = request.headers["lycheetide-helpers"].split(",")
+    assert sum("/" in helper for helper in named) == len(held)
+
+
+async def test_a_huge_prompt_gets_all_its_memory_or_none():
+    """One of the replicas has no memory left, so the prompt can't be placed.
+
+    Halves that are kept would keep other huge prompts from their memory for ever.
+    """
+    async with Relayed(replicas=3) as fleet:
+        for replica in fleet.replicas:
+            replica.kv_tokens = 10
+        answer = await fleet.stream(tokens="210000,300")
+        await fleet.wait_for(
+            lambda: not any(replica.tickets for replica in fleet.replicas)
+        )
+    assert answer.status_code == 503
+    assert fleet.runs() == []
+
+
+async def test_a_planned_stop_cuts_no_request():
+    """A node is told to stop while streams run and callers go on asking."""
+    async with Relayed(relays=2) as fleet:
+        for replica in fleet.replicas:
+            replica.events = 20
+            replica.pause_s = 0.04
+        async with anyio.create_task_group() as group:
+            answers = []
+
+            async def ask():
+                answers.append(await fleet.stream(deadline_ms=3_000))
+
+            for _ in range(5):
+                group.start_soon(ask)
+            await anyio.sleep(0.2)
+            fleet.stops[0].set()
+            await anyio.sleep(0.1)
+            late = await fleet.look()
+            ready = await fleet.http.get(
+                f"http://{fleet.relays[0].settings.readiness_address}/-/ready"
+            )
+    assert [answer.content.count(b"id:") for answer in answers] == [20] * 5
+    assert late.status_code == 200
+    assert late.headers["connection"] == "close"
+    assert ready.status_code == 503
--- a/lycheetide/settings/_relay.py
+++ b/lycheetide/settings/_relay.py
@@ -15,7 +15,13 @@
 
 @dataclass(frozen=True)
 class RelaySettings:
-    """What one relay is told when it starts; fields as in the INI file."""
+    """What one relay is told when it starts; fields as in the INI file.
+
+    Notes
+    -----
+    ``stop_notice_s`` is how long a balancer may go on sending callers after a node
+    said that it isn't ready: two questions, one a second, and the way there.
+    """
 
     name: str
     region: str
@@ -38,6 +44,7 @@
     retry_extra: float = 50.0
     retry_window_s: float = 10.0
     stop_s: float = 8.0
+    stop_notice_s: float = 3.2
 
     @property
     def seed_hosts(self):
@@ -63,6 +70,7 @@
     Field("retries", "retry_extra", between(0.0, 1e6)),
     Field("retries", "retry_window_s", between(0.1, 3600.0)),
     Field("stop", "stop_s", between(1.0, 3600.0)),
+    Field("stop", "stop_notice_s", between(0.0, 600.0)),
     Field("metrics", "statsd_address", optional_address),
     Field("metrics", "statsd_prefix", identifier),
     Field("logs", "log_level", level),
--- /dev/null
+++ b/standins/relayed.py
@@ -0,0 +1,195 @@
+"""Relays, replicas and a store in one loop, for tests without any other process."""
+
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import anyio
+import httpx
+
+from lycheetide import platform
+from lycheetide.relay import run_relay
+from lycheetide.settings import RelaySettings
+from standins.http import LOOPBACK
+from standins.local import find_port
+from standins.replica import Replica
+from standins.store import Store
+
+HOST = "works.example"
+KEY = "key-of-hule"
+CUSTOMER = "hule"
+WAIT_S = 5.0
+
+ENGINE = {
+    "slots": 8, "kvCapacityTokens": 100_000, "stride": 43, "step_ms": 1.0,
+    "per_seq_ms": 0.005, "context_per_k": 0.004, "read_per_s": 206_000.0,
+    "pairs_per_m": 0.138, "chunk": 2_048,
+}  # fmt: skip
+
+
+def make_config(version=1, **changes):
+    """Return a configuration as operators write it."""
+
+    def route(path, kind, **fields):
+        return {
+            "name": path.strip("/"), "host": HOST, "pathPrefix": path, "kind": kind,
+            "timeoutMs": 3_000, "goalLatencyMs": 300, "priority": 1,
+            "service": "models", "attempts": 2, "public": False,
+        } | fields  # fmt: skip
+
+    return {
+        "version": version,
+        "routes": [
+            route("/stream/", "streaming", resumable=True, gapTargetMs=250),
+            route("/stream-once/", "streaming", gapTargetMs=250),
+            route("/look/", "idempotent"),
+            route("/book/", "non_idempotent", attempts=1),
+        ],
+        "services": [
+            {"name": "models", "healthPath": "/health", "maxConns": 100, "coldS": 3.0,
+             "coldPerS": 20.0, "engine": ENGINE},
+        ],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 10_000,
+                   "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
+        "tenants": [{"name": CUSTOMER, "apiKeys": [KEY]}],
+    } | changes  # fmt: skip
+
+
+class Relayed:
+    """A small deployment; use as an asynchronous context.
+
+    Parameters
+    ----------
+    replicas, relays : int
+        How many.
+    """
+
+    def __init__(self, *, replicas=2, relays=1, config=None):
+        self.store = Store()
+        self.replicas = [Replica(f"r-{index}") for index in range(replicas)]
+        self.relays = []
+        self.stops = []
+        self.count = relays
+        self.config = config or make_config()
+        self.http = None
+        self.running = 0
+        self._attempts = 0
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self):
+        """Start all and wait until the relays know the replicas."""
+        await self._stack.enter_async_context(self.store.server.run())
+        for replica in self.replicas:
+            await self._stack.enter_async_context(replica.server.run())
+            self.store.put("keyed.servers", replica.name, replica.entry())
+        self.store.put("keyed.op", "config", self.config)
+        self.group = await self._stack.enter_async_context(anyio.create_task_group())
+        for _ in range(self.count):
+            await self.start_relay()
+        self.http = await self._stack.enter_async_context(
+            httpx.AsyncClient(timeout=10, trust_env=False)
+        )
+        return self
+
+    async def __aexit__(self, *error):
+        """Stop all."""
+        for stop in self.stops:
+            stop.set()
+        with anyio.CancelScope(shield=True):
+            await self.wait_for(lambda: self.running == 0)
+        self.group.cancel_scope.cancel()
+        return await self._stack.__aexit__(*error)
+
+    async def start_relay(self, *, wait=True):
+        """Start one more relay."""
+        index = len(self.stops)
+        stop = anyio.Event()
+        self.stops.append(stop)
+        settings = RelaySettings(
+            name=f"entry-{index}", region="munster", failure_domain="cork-a",
+            caller_address=f"{LOOPBACK}:{find_port()}",
+            readiness_address=f"{LOOPBACK}:{find_port()}",
+            peer_address=f"{LOOPBACK}:{find_port()}",
+            store_address=self.store.address,
+            registry_interval_s=0.05, stop_notice_s=0.0, stop_s=2.0,
+        )  # fmt: skip
+
+        async def wait_for_stop(relay):
+            await stop.wait()
+
+        async def run():
+            self.running += 1
+            try:
+                await run_relay(
+                    settings, platform, wait_for_stop=wait_for_stop,
+                    on_start=self.relays.append,
+                )  # fmt: skip
+            finally:
+                self.running -= 1
+
+        self.group.start_soon(run)
+        await self.wait_for(lambda: len(self.relays) > index)
+        relay = self.relays[index]
+        if wait:
+            await self.wait_for(lambda: relay.table and relay.replicas.replicas)
+        return relay
+
+    async def wait_for(self, condition, *, timeout_s=WAIT_S):
+        """Wait until a condition holds; return how long it took."""
+        begun_s = time.monotonic()
+        while not condition():
+            if time.monotonic() - begun_s > timeout_s:
+                raise TimeoutError("the condition never held")
+            await anyio.sleep(0.01)
+        return time.monotonic() - begun_s
+
+    def make_headers(self, *, tokens="1000,200", deadline_ms=3_000, key=KEY, **more):
+        """Return a caller's headers with a new attempt id."""
+        self._attempts += 1
+        headers = {
+            "host": HOST,
+            "lycheetide-attempt-id": f"{self._attempts:016x}",
+            "lycheetide-deadline-ms": str(deadline_ms),
+            "lycheetide-credential": key,
+        }
+        if tokens:
+            headers["lycheetide-token-count"] = tokens
+        return headers | more
+
+    def url(self, path, relay=0):
+        """Return a caller's URL at one relay."""
+        return f"http://{self.relays[relay].settings.caller_address}{path}"
+
+    async def look(self, *, relay=0, path="/look/a", **fields):
+        """Send a lookup."""
+        headers = self.make_headers(tokens="", **fields)
+        return await self.http.get(self.url(path, relay), headers=headers)
+
+    async def book(self, *, relay=0, **fields):
+        """Send a booking."""
+        headers = self.make_headers(tokens="", **fields)
+        url = self.url("/book/b", relay)
+        return await self.http.post(url, headers=headers, content=b"a deposit")
+
+    async def stream(self, *, relay=0, path="/stream/s", **fields):
+        """Send a prompt and return the whole answer."""
+        headers = self.make_headers(**fields)
+        url = self.url(path, relay)
+        return await self.http.post(url, headers=headers, content=b"a prompt")
+
+    @asynccontextmanager
+    async def open_stream(self, *, relay=0, path="/stream/s", **fields):
+        """Send a prompt and yield the answer while it comes."""
+        headers = self.make_headers(**fields)
+        url = self.url(path, relay)
+        async with self.http.stream(
+            "POST", url, headers=headers, content=b"a prompt"
+        ) as response:
+            yield response
+
+    def runs(self):
+        """Return how often each attempt ran."""
+        return [attempt for replica in self.replicas for attempt in replica.runs]
+
+    def seen(self):
+        """Return all requests that reached a replica."""
+        return [request for replica in self.replicas for request in replica.seen]
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,139 @@
+"""A stand-in for the store of the users' platform: keyed logs over HTTP."""
+
+import base64
+import json
+from urllib.parse import parse_qs, urlsplit
+
+import anyio
+
+from standins.http import Answer, HttpServer
+
+LENGTH_BYTES = 4
+LONGEST_WAIT_S = 30.0
+
+
+class Topic:
+    """One keyed topic."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+
+    @property
+    def end(self):
+        """The next record's offset."""
+        return self.first + len(self.records)
+
+    def put(self, key, value):
+        """Append a record; an empty value removes the key."""
+        self.records.append((key, value))
+
+    def newest(self):
+        """Return the newest record of each key, with its offset."""
+        found = {}
+        for index, (key, value) in enumerate(self.records):
+            found[key] = (self.first + index, value)
+        return found
+
+
+class Store:
+    """The store; ``down`` makes it refuse all calls.
+
+    Attributes
+    ----------
+    calls : list of str
+        The targets of all calls.
+    down : str
+        Empty, "busy", or "silent".
+    """
+
+    def __init__(self):
+        self.topics = {}
+        self.calls = []
+        self.down = ""
+        self.changed = anyio.Event()
+        self.server = HttpServer(self.answer)
+
+    @property
+    def address(self):
+        """Where it listens."""
+        return self.server.address
+
+    def topic(self, name):
+        """Return a topic, made on first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic, key, value):
+        """Write a record as operators and replicas do."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.topic(topic).put(key, data)
+        self.wake()
+
+    def remove(self, topic, key):
+        """Remove a key."""
+        self.topic(topic).put(key, b"")
+        self.wake()
+
+    def wake(self):
+        """Wake the reads that wait."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def compact(self, topic):
+        """Drop the history; only the newest record of each key stays listed."""
+        old = self.topic(topic)
+        kept = {key: value for key, (_, value) in old.newest().items() if value}
+        old.first = old.end
+        old.records = []
+        for key, value in kept.items():
+            old.put(key, value)
+
+    async def answer(self, request):
+        """Answer one call."""
+        self.calls.append(request.target)
+        if self.down == "silent":
+            await anyio.sleep_forever()
+        if self.down:
+            return Answer(503, b"{}")
+        parts = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        topic = self.topic(query["topic"])
+        if parts.path == "/-/log-append":
+            return self._append(topic, request.body)
+        if parts.path == "/-/log-newest":
+            return self._newest(topic)
+        return await self._read(topic, query)
+
+    def _append(self, topic, body):
+        """Append one record."""
+        size = body[LENGTH_BYTES]
+        key = body[LENGTH_BYTES + 1 : LENGTH_BYTES + 1 + size].decode()
+        topic.put(key, body[LENGTH_BYTES + 1 + size :])
+        self.wake()
+        return Answer(200, json.dumps({"offset": topic.end - 1}).encode())
+
+    def _newest(self, topic):
+        """List the newest records."""
+        items = [
+            {"key": key, "offset": offset, "value": base64.b64encode(value).decode()}
+            for key, (offset, value) in topic.newest().items()
+            if value
+        ]
+        body = {"items": items, "more": False, "end": topic.end}
+        return Answer(200, json.dumps(body).encode())
+
+    async def _read(self, topic, query):
+        """Return records from an offset on."""
+        offset = int(query["from"])
+        with anyio.move_on_after(int(query.get("waitMs", 0)) / 1000):
+            while topic.end <= offset and not self.down:
+                await self.changed.wait()
+        if self.down:
+            return Answer(503, b"{}")
+        if offset < topic.first:
+            return Answer(410, json.dumps({"first": topic.first}).encode())
+        body = topic.end.to_bytes(8, "big") + topic.first.to_bytes(8, "big")
+        for key, value in topic.records[offset - topic.first :]:
+            record = bytes([len(key)]) + key.encode() + value
+            body += len(record).to_bytes(LENGTH_BYTES, "big") + record
+        return Answer(200, body)
