Read long prompts away from short answers, prompts with reservations too

Change: a long prompt is read only at replicas without short answers while its first event is expected within 0.4 of its target; holders of reserved memory are chosen the same way and are known to the board. Nodes of another fleet are no peers (an address that is used again; found when two test workers used the same ports).

Ruled out: slow nodes (first events were on time), the reading of short prompts.

--- a/lycheetide/board/_messages.py
+++ b/lycheetide/board/_messages.py
@@ -65,6 +65,9 @@
 
     Parameters
     ----------
+    fleet : str
+        The store that it reads: nodes of other fleets aren't peers, though they may
+        have got the address of one that is gone.
     node : str
         Its name and start, never used twice.
     address : str
@@ -85,6 +88,7 @@
         Addresses of other nodes, in a reply.
     """
 
+    fleet: str
     node: str
     address: str
     failure_domain: str
--- a/lycheetide/board/_peers.py
+++ b/lycheetide/board/_peers.py
@@ -47,10 +47,13 @@
     ----------
     own_address : str
         This node's own, which is never a peer.
+    fleet : str
+        The store that this node reads; nodes that read another are no peers.
     """
 
-    def __init__(self, own_address):
+    def __init__(self, own_address, *, fleet=""):
         self.own_address = own_address
+        self.fleet = fleet
         self.peers: dict[str, Peer] = {}
         self._greeted_s: dict[str, float] = {}
 
@@ -61,6 +64,10 @@
         self.peers[address] = Peer("", address)
         self._greeted_s[address] = now_s
 
+    def is_peer(self, node):
+        """Tell whether a node has greeted this one."""
+        return any(peer.node == node for peer in self.peers.values())
+
     def hear(self, hello, *, now_s):
         """Note a peer's greeting; tell whether it is a new start of a node."""
         known = self.peers.get(hello.address)
--- /dev/null
+++ b/lycheetide/board/tests/test_board.py
@@ -0,0 +1,129 @@
+"""What a node believes of the others' work when messages are lost or nodes die."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lycheetide.board import (
+    Board,
+    Ended,
+    Hello,
+    Job,
+    Part,
+    Peers,
+    Started,
+    Suspected,
+    decode_message,
+    encode_message,
+)
+
+
+def make_board(*jobs):
+    board = Board(short_read_s=0.06)
+    for job in jobs:
+        board.start(job, now_s=job.started_s)
+    return board
+
+
+def make_job(name="j", node="n", *, read_s=0.02, ends_by_s=10.0, writes=True):
+    return Job(name, node, (Part("r", read_s, 100, writes),), 0.0, ends_by_s)
+
+
+def test_reading_queues_up_and_is_worked_off():
+    board = make_board(make_job("a", read_s=0.3), make_job("b", read_s=0.2))
+    assert board.backlog_s("r", now_s=0.0) == pytest.approx(0.5)
+    assert board.backlog_s("r", now_s=0.4) == pytest.approx(0.1)
+    assert board.backlog_s("r", now_s=9.0) == 0.0
+
+
+def test_a_message_that_comes_twice_counts_once():
+    board = make_board(make_job(), make_job())
+    assert board.column("r").writers == 1
+    board.end("n", "j", now_s=1.0)
+    board.end("n", "j", now_s=1.0)
+    assert board.column("r").writers == 0
+    assert board.column("r").kv_tokens == 0
+
+
+def test_work_whose_end_was_never_told_is_forgotten():
+    """The datagram with the end is lost, or its node has died.
+
+    A replica would look busy for ever and get no work.
+    """
+    board = make_board(make_job("a", ends_by_s=5.0), make_job("b", "dead"))
+    board.expire(now_s=1.0, living={"n"})
+    assert set(board.jobs) == {("n", "a")}
+    board.expire(now_s=5.0, living={"n"})
+    assert board.column("r").writers == 0
+
+
+def test_a_suspect_is_left_alone_for_longer_each_time_and_forgiven_when_heard():
+    board = make_board()
+    board.suspect("r", now_s=0.0)
+    assert board.is_suspect("r", now_s=2.0)
+    assert not board.is_suspect("r", now_s=3.5)
+    board.suspect("r", now_s=4.0)
+    assert board.is_suspect("r", now_s=9.0)
+    assert board.is_recovering("r", now_s=12.0)
+    board.hear("r", now_s=13.0)
+    assert not board.is_recovering("r", now_s=13.0)
+
+
+def test_only_starts_of_the_last_second_count():
+    board = make_board(make_job("a"), make_job("b"))
+    assert board.starts_within("r", 1.0, now_s=0.5) == 2
+    assert board.starts_within("r", 1.0, now_s=1.5) == 0
+    assert board.starts_within("unknown", 1.0, now_s=0.5) == 0
+
+
+def make_hello(node="n.1", address="10.0.0.2:7", **fields):
+    return Hello("10.200.1.7:8223", node, address, "z", 5, 6, 0.1, **fields)
+
+
+def test_peers_that_fall_silent_are_left_out_and_later_forgotten():
+    peers = Peers("10.0.0.1:7")
+    peers.learn("10.0.0.1:7", now_s=0.0)
+    peers.learn("10.0.0.2:7", now_s=0.0)
+    assert peers.alive(now_s=0.1) == []
+    assert peers.hear(make_hello(), now_s=1.0)
+    assert not peers.hear(make_hello(), now_s=1.5)
+    assert peers.hear(make_hello("n.2"), now_s=2.0)
+    assert len(peers.alive(now_s=4.0)) == 1
+    assert peers.alive(now_s=6.0) == []
+    assert peers.targets(now_s=6.0) == ["10.0.0.2:7"]
+    assert peers.targets(now_s=40.0) == []
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Started("n", "j", (Part("r", 0.1, 5, False),), 2.0),
+        Ended("n", "j"),
+        Suspected("n", "r"),
+        make_hello(heard=("a", "b"), peers=("10.0.0.3:7",)),
+    ],
+)
+def test_messages_come_back_as_they_were(message):
+    assert decode_message(encode_message(message)) == message
+
+
+def test_the_largest_messages_fit_one_datagram():
+    """A datagram that is split is lost more often, and half of it is nothing."""
+    parts = tuple(Part(f"i-{number:010x}", 0.123456, 100_000) for number in range(17))
+    node = "front-plouis-a-12.201a8352.f82"
+    assert len(encode_message(Started(node, "ffff", parts, 15.0))) < 1_400
+    heard = tuple(f"i-{number:010x}" for number in range(24))
+    peers = tuple(f"10.64.12.{number}:17480" for number in range(40))
+    hello = make_hello(node, heard=heard, peers=peers)
+    assert len(encode_message(hello)) < 1_400
+
+
+@settings(max_examples=200, derandomize=True)
+@given(st.binary(max_size=200))
+def test_bytes_that_are_no_message_are_refused(data):
+    """Anybody can send a datagram; none may end the node."""
+    try:
+        decode_message(data)
+    except msgspec.MsgspecError:
+        return
--- a/lycheetide/placement/__init__.py
+++ b/lycheetide/placement/__init__.py
@@ -3,11 +3,13 @@
 from lycheetide.placement._choose import (
     SHORT_READ_S,
     Candidate,
+    MemoryShare,
     Placement,
     Size,
     choose_plain,
     choose_prompt,
     rank_replicas,
+    spread_prompt,
 )
 from lycheetide.placement._cold import cold_allowance, may_send_to_cold
 from lycheetide.placement._estimate import (
@@ -17,23 +19,25 @@
     read_s,
 )
 from lycheetide.placement._retries import RetryWindow
-from lycheetide.placement._tickets import TicketShare, share_memory
+from lycheetide.placement._tickets import needs_sharing, share_memory
 
 __all__ = [
     "SHORT_READ_S",
     "Candidate",
+    "MemoryShare",
     "Placement",
     "RetryWindow",
     "Size",
-    "TicketShare",
     "answer_s",
     "choose_plain",
     "choose_prompt",
     "cold_allowance",
     "first_event_s",
     "may_send_to_cold",
+    "needs_sharing",
     "pass_s",
     "rank_replicas",
     "read_s",
     "share_memory",
+    "spread_prompt",
 ]
--- a/lycheetide/placement/_choose.py
+++ b/lycheetide/placement/_choose.py
@@ -1,7 +1,7 @@
 """Choose the replicas for one request.
 
-Short prompts are packed onto few replicas, and long ones are spread in small parts
-over the others. Many writing requests on one replica hardly slow one another, while
+Short prompts are packed onto few replicas, and long ones are spread in parts over the
+others. Many writing requests on one replica hardly slow one another, while
 a long prompt that is read beside them stretches each one's pause between events.
 """
 
@@ -29,8 +29,11 @@
 """Short requests that are packed onto one replica before the next one is used."""
 SHORT_BACKLOG_S = 0.05
 """Reading ahead of a short prompt up to which packing goes on."""
-DISTURBED_COST_S = 0.03
-"""What a part of a long prompt has to save for each short request it disturbs."""
+DISTURBED_COST_S = 0.05
+"""What a long prompt's own place has to save for each short request it disturbs."""
+SLACK = 0.4
+"""Part of the target within which a long prompt's first event is soon enough, so that
+no short request need be disturbed; the rest is for what isn't foreseen."""
 FULL_COST_S = 1.0
 """What it costs to wait for a slot: about the rest of a short answer."""
 OTHER_DOMAIN_COST_S = 0.002
@@ -107,12 +110,26 @@
         """What a part of a long prompt costs the short requests there."""
         return self.short_writers * DISTURBED_COST_S
 
+    @property
+    def may_help(self):
+        """Whether it may read a part of another replica's prompt."""
+        is_trusted = not (self.is_recovering or self.is_new)
+        return is_trusted and self.helping < self.slots - 1
+
     def wait_s(self, engine):
         """Return the expected time until it begins to read what is sent now."""
         ready_s = pass_s(engine, self.writers, self.kv_tokens) / 2
         return ready_s + self.backlog_s + self.extra_s
 
 
+@dataclass(frozen=True)
+class MemoryShare:
+    """Memory that one replica sets aside for another's request."""
+
+    replica: Candidate
+    tokens: int
+
+
 @dataclass(frozen=True)
 class Placement:
     """Where a request goes.
@@ -123,6 +140,8 @@
         Gets the request and writes the answer.
     helpers : tuple of Candidate
         Read a part of the prompt each.
+    holders : tuple of MemoryShare
+        Read a part each as well, and hold a share of its memory.
     expected_s : float
         Until the first event.
     part_read_s : float
@@ -133,6 +152,7 @@
     helpers: tuple[Candidate, ...]
     expected_s: float
     part_read_s: float
+    holders: tuple[MemoryShare, ...] = ()
 
 
 def rank_replicas(ids):
@@ -167,7 +187,9 @@
     return Placement(first, (), 0.0, 0.0)
 
 
-def choose_prompt(engine: Engine, size: Size, candidates: Sequence[Candidate]):
+def choose_prompt(
+    engine: Engine, size: Size, candidates: Sequence[Candidate], *, target_s: float
+):
     """Return where a prompt goes, or None where no replica has the memory.
 
     Parameters
@@ -178,18 +200,21 @@
         The request.
     candidates : sequence of Candidate
         Replicas that may take it.
+    target_s : float
+        When the first event is wanted.
     """
-    fitting = [
-        candidate
-        for candidate in candidates
-        if candidate.kv_tokens + size.tokens <= engine.kv_tokens
-    ]
+    fitting = [one for one in candidates if _has_memory(engine, size, one)]
     if not fitting:
         return None
     whole_s = read_s(engine, size.prompt_tokens)
     if whole_s <= SHORT_READ_S:
         return _choose_short(engine, whole_s, fitting)
-    return _choose_long(engine, size, whole_s, fitting, candidates)
+    return _choose_long(engine, size, whole_s, target_s, candidates)
+
+
+def _has_memory(engine, size, candidate):
+    """Tell whether a replica has the memory for a request."""
+    return candidate.kv_tokens + size.tokens <= engine.kv_tokens
 
 
 def _expect(engine, candidate, own_read_s):
@@ -224,36 +249,67 @@
     return Placement(first, (), _expect(engine, first, whole_s), whole_s)
 
 
-def _choose_long(engine, size, whole_s, fitting, candidates):
-    """Spread a long prompt over as many replicas as it gains by."""
+def _choose_long(engine, size, whole_s, target_s, candidates):
+    """Choose the place of a long prompt that fits one replica's memory."""
     first = min(
-        fitting,
+        (one for one in candidates if _has_memory(engine, size, one)),
         key=lambda one: (_expect(engine, one, whole_s) + one.disturbed_s, -one.rank),
     )
+    return spread_prompt(engine, size, first, (), candidates, target_s=target_s)
+
+
+def spread_prompt(engine, size, first, holders, candidates, *, target_s):
+    """Read a long prompt in parts, away from short ones while that is soon enough.
+
+    Parameters
+    ----------
+    engine : Engine
+        The service's figures.
+    size : Size
+        The request.
+    first : Candidate
+        Gets the request.
+    holders : sequence of MemoryShare
+        Take part in any case.
+    candidates : sequence of Candidate
+        Replicas that may take part besides.
+    target_s : float
+        When the first event is wanted.
+
+    Returns
+    -------
+    Placement
+    """
+    taken = {first.id, *(share.replica.id for share in holders)}
     others = sorted(
-        (
-            one
-            for one in candidates
-            if one.id != first.id
-            and one.helping < one.slots - 1
-            and not (one.is_recovering or one.is_new)
-        ),
-        key=lambda one: (one.wait_s(engine) + one.disturbed_s, -one.rank),
+        (one for one in candidates if one.id not in taken and one.may_help),
+        key=lambda one: (one.short_writers, one.wait_s(engine), -one.rank),
     )
-    wanted = min(HELPERS_MOST, round(whole_s / PART_READ_S), len(others))
+    apart = [one for one in others if one.short_writers == 0]
+    placement = _spread(engine, size, first, holders, apart)
+    if placement.expected_s > SLACK * target_s:
+        placement = _spread(engine, size, first, holders, others)
+    return placement
+
+
+def _spread(engine, size, first, holders, others):
+    """Return the placement with as many helpers as the prompt gains by."""
+    whole_s = read_s(engine, size.prompt_tokens)
+    most = min(HELPERS_MOST, round(whole_s / PART_READ_S)) - len(holders)
     plans = (
-        _plan(engine, size, whole_s, first, others[:count])
-        for count in range(wanted + 1)
+        _plan(engine, size, first, holders, others[:count])
+        for count in range(max(0, min(most, len(others))) + 1)
     )
     _, placement = min(plans, key=lambda plan: plan[0])
     return placement
 
 
-def _plan(engine, size, whole_s, first, helpers):
+def _plan(engine, size, first, holders, helpers):
     """Return what it costs to read a prompt with certain helpers, and the placement."""
-    part_s = whole_s / (len(helpers) + 1)
-    last_s = max(one.wait_s(engine) for one in (first, *helpers))
+    readers = (first, *(share.replica for share in holders), *helpers)
+    part_s = read_s(engine, size.prompt_tokens) / len(readers)
+    last_s = max(one.wait_s(engine) for one in readers)
     expected_s = last_s + part_s + pass_s(engine, first.writers + 1, size.tokens)
-    disturbed_s = sum(one.disturbed_s for one in helpers) / (len(helpers) + 1)
-    cost_s = expected_s + len(helpers) * HELPER_COST_S + disturbed_s
-    return cost_s, Placement(first, tuple(helpers), expected_s, part_s)
+    cost_s = expected_s + len(helpers) * HELPER_COST_S
+    placement = Placement(first, tuple(helpers), expected_s, part_s, tuple(holders))
+    return cost_s, placement
--- a/lycheetide/placement/_tickets.py
+++ b/lycheetide/placement/_tickets.py
@@ -1,9 +1,8 @@
 """Share the memory of a prompt that is too large for one replica."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
-from lycheetide.placement._choose import Candidate
+from lycheetide.placement._choose import Candidate, MemoryShare
 
 LARGEST_SHARE = 0.6
 """Part of a replica's memory that one prompt may take, so that short work has room."""
@@ -11,21 +10,16 @@
 """Part of its memory that the first replica keeps of the prompt; it also writes."""
 
 
-@dataclass(frozen=True)
-class TicketShare:
-    """Memory that a helper sets aside."""
-
-    replica: Candidate
-    tokens: int
-
-
 def needs_sharing(engine, tokens):
     """Tell whether a request takes more of one replica's memory than it should."""
     return tokens > LARGEST_SHARE * engine.kv_tokens
 
 
 def share_memory(engine, tokens, candidates: Sequence[Candidate]):
-    """Return which replicas set how much memory aside, the emptiest first.
+    """Return which replicas set how much memory aside.
+
+    The emptiest come first, and those without short requests before others, since
+    each also reads a part of the prompt.
 
     Parameters
     ----------
@@ -41,7 +35,7 @@
     first : Candidate or None
         Gets the request and keeps the rest of its memory; None where the replicas
         together don't have the room.
-    shares : tuple of TicketShare
+    shares : tuple of MemoryShare
         The others.
     """
     order = sorted(
@@ -58,7 +52,7 @@
             break
         room = LARGEST_SHARE * (engine.kv_tokens - other.kv_tokens)
         part = int(min(left, room))
-        shares.append(TicketShare(other, part))
+        shares.append(MemoryShare(other, part))
         left -= part
     if left > 0:
         return None, ()
--- /dev/null
+++ b/lycheetide/placement/tests/test_choose.py
@@ -0,0 +1,147 @@
+"""Where prompts go when short and huge ones share the replicas.
+
+The pattern is that of an ordinary hour: many short prompts (5,000 tokens) and now and
+then an archive search (133,000 tokens, some far longer). The engine's figures are those
+of a large dense model on two accelerators.
+"""
+
+import dataclasses
+
+import pytest
+
+from lycheetide.placement import (
+    Candidate,
+    Size,
+    choose_plain,
+    choose_prompt,
+    pass_s,
+    read_s,
+    share_memory,
+    spread_prompt,
+)
+from lycheetide.routes import Engine
+
+ENGINE = Engine(
+    slots=8,
+    kv_tokens=232_000,
+    steps_per_pass=43,
+    step_s=1.02e-3,
+    step_s_per_writer=4.5e-6,
+    step_s_per_context_token=4.31e-9,
+    read_s_per_token=1 / 206_000,
+    read_s_per_pair=0.138e-9,
+)
+QUICK = Size(5_000, 1_400)
+ARCHIVE = Size(133_000, 700)
+PAUSE_S = 0.25
+"""A longer pause between the events of a short answer is noticed."""
+
+
+def make_replicas(count=16, **by_rank):
+    """Return idle replicas; ``w3={...}`` changes the one of rank 3."""
+    return [
+        dataclasses.replace(
+            Candidate(f"r{rank}", f"10.0.0.{rank}:80", rank, 8),
+            **by_rank.get(f"w{rank}", {}),
+        )
+        for rank in range(count)
+    ]
+
+
+def choose(size, replicas, target_s=2.5):
+    return choose_prompt(ENGINE, size, replicas, target_s=target_s)
+
+
+def test_short_prompts_are_packed_onto_few_replicas():
+    """Spread evenly, short prompts stand wherever a huge one is to be read.
+
+    Each huge one would then stretch the pauses of all of them.
+    """
+    replicas = make_replicas()
+    used = set()
+    for _ in range(24):
+        first = choose(QUICK, replicas).first
+        used.add(first.id)
+        replicas[first.rank] = dataclasses.replace(
+            first, writers=first.writers + 1, short_writers=first.short_writers + 1
+        )
+    assert len(used) == 4
+
+
+def test_a_short_prompt_avoids_a_replica_that_reads_a_huge_one():
+    replicas = make_replicas(w0={"backlog_s": 0.4})
+    assert choose(QUICK, replicas).first.rank == 1
+
+
+def test_a_huge_prompt_leaves_short_answers_alone_while_it_can():
+    """Half of the replicas write short answers, the others are idle.
+
+    Read on all, the huge prompt would be some 100 ms sooner, of the 2.5 s that its
+    caller waits gladly, and stretch every short answer's pause.
+    """
+    busy = {f"w{rank}": {"writers": 6, "short_writers": 6} for rank in range(8)}
+    placement = choose(ARCHIVE, make_replicas(**busy))
+    parts = (placement.first, *placement.helpers)
+    assert all(part.short_writers == 0 for part in parts)
+    assert len(parts) == 8
+
+
+def test_a_huge_prompt_is_read_everywhere_when_it_would_be_late():
+    """Only one replica is idle; alone it would take 1.9 s for a target of 2.5 s."""
+    busy = {f"w{rank}": {"writers": 6, "short_writers": 6} for rank in range(15)}
+    placement = choose(ARCHIVE, make_replicas(**busy))
+    assert len(placement.helpers) > 8
+    assert placement.expected_s < 0.5 * 2.5
+
+
+def test_parts_of_a_prompt_do_not_stretch_a_pause_too_far():
+    """One part of an ordinary archive search beside short answers."""
+    busy = {f"w{rank}": {"writers": 6, "short_writers": 6} for rank in range(16)}
+    placement = choose(ARCHIVE, make_replicas(**busy))
+    assert pass_s(ENGINE, 6, 40_000) + placement.part_read_s < PAUSE_S
+
+
+def test_reading_grows_with_the_square_of_the_length():
+    assert read_s(ENGINE, 133_000) == pytest.approx(0.646 + 1.220, abs=0.01)
+    assert read_s(ENGINE, 5_000) < 0.03
+
+
+def test_no_prompt_goes_where_its_memory_is_missing():
+    """Placed all the same, it would be preempted and read again."""
+    replicas = make_replicas(2, w0={"kv_tokens": 200_000}, w1={"kv_tokens": 90_000})
+    assert choose(ARCHIVE, replicas).first.rank == 1
+    full = [dataclasses.replace(one, kv_tokens=200_000) for one in replicas]
+    assert choose(ARCHIVE, full) is None
+
+
+def test_a_prompt_above_one_memory_is_shared_and_read_apart_from_short_ones():
+    """600,000 tokens; a replica holds 232,000."""
+    size = Size(600_000, 700)
+    busy = {f"w{rank}": {"writers": 6, "short_writers": 6} for rank in range(4)}
+    replicas = make_replicas(**busy)
+    first, shares = share_memory(ENGINE, size.tokens, replicas)
+    placement = spread_prompt(ENGINE, size, first, shares, replicas, target_s=9.0)
+    taking_part = (first, *(one.replica for one in shares), *placement.helpers)
+    assert sum(share.tokens for share in shares) >= size.tokens - 0.5 * 232_000
+    assert max(share.tokens for share in shares) <= 0.6 * 232_000
+    assert all(one.short_writers == 0 for one in taking_part)
+    assert len({one.id for one in taking_part}) == len(taking_part)
+
+
+def test_memory_that_is_not_there_is_not_shared():
+    replicas = make_replicas(2)
+    assert share_memory(ENGINE, 600_000, replicas) == (None, ())
+
+
+def test_a_silent_or_cold_replica_neither_helps_nor_is_packed():
+    """A part at a replica that is dead holds the whole prompt up."""
+    replicas = make_replicas(4, w0={"is_recovering": True}, w1={"is_new": True})
+    placement = choose(ARCHIVE, replicas)
+    assert {one.rank for one in placement.helpers} <= {2, 3}
+    assert choose(QUICK, replicas).first.rank == 2
+
+
+def test_a_plain_request_goes_to_the_freest_and_nearest():
+    replicas = make_replicas(3, w0={"writers": 2}, w1={"is_near": False})
+    assert choose_plain(replicas).first.rank == 2
+    assert choose_plain([]) is None
--- /dev/null
+++ b/lycheetide/placement/tests/test_limits.py
@@ -0,0 +1,62 @@
+"""Limits that all nodes keep together, without a call between them."""
+
+import pytest
+
+from lycheetide.placement import RetryWindow, cold_allowance, may_send_to_cold
+
+
+@pytest.mark.parametrize("nodes", [1, 3, 7, 9, 60, 91, 300])
+@pytest.mark.parametrize("limit", [5.0, 26.0, 36.0])
+def test_all_nodes_together_stay_under_a_cold_limit(nodes, limit):
+    """A replica has just started, and every node sends as much as it may.
+
+    Nine nodes that each think their little is nothing make it fall over.
+    """
+    names = [f"node-{number}" for number in range(nodes)]
+    shares = [cold_allowance(limit, name, names, "r") for name in names]
+    assert 0 < sum(shares) <= limit
+
+
+@pytest.mark.parametrize("known", [4, 6])
+def test_nodes_that_know_fewer_peers_still_stay_under_it(known):
+    """Seven nodes are cut into parts of four and three."""
+    names = [f"node-{number}" for number in range(7)]
+    near, far = names[:known], names[known:]
+    total = sum(cold_allowance(26.0, name, near, "r") for name in near)
+    total += sum(cold_allowance(26.0, name, far, "r") for name in far)
+    assert total <= 26.0 * 1.5 + 5
+
+
+def test_a_service_without_a_limit_has_none():
+    assert cold_allowance(0.0, "a", ["a"], "r") is None
+    assert may_send_to_cold(0.0, allowance=None, own_starts=99, all_starts=99)
+
+
+def test_other_nodes_starts_count():
+    assert may_send_to_cold(36.0, allowance=4, own_starts=3, all_starts=10)
+    assert not may_send_to_cold(36.0, allowance=4, own_starts=4, all_starts=10)
+    assert not may_send_to_cold(36.0, allowance=4, own_starts=0, all_starts=30)
+
+
+@pytest.mark.parametrize("nodes", [1, 9, 60])
+def test_all_nodes_together_keep_the_retry_budget(nodes):
+    """A service fails every request; each is tried again if the budget has room.
+
+    Unbounded retries keep a failing service down.
+    """
+    windows = [RetryWindow(ratio=0.2, extra=100, window_s=10.0) for _ in range(nodes)]
+    requests = retries = 0
+    for step in range(1_000):
+        now_s = step / 100
+        window = windows[step % nodes]
+        window.note_request(now_s=now_s)
+        requests += 1
+        retries += window.spend(nodes, now_s=now_s)
+    assert 0 < retries <= 0.2 * requests + 100
+
+
+def test_a_retry_window_fills_again():
+    window = RetryWindow(ratio=0.0, extra=2, window_s=10.0)
+    assert window.spend(1, now_s=0.0)
+    assert not window.spend(1, now_s=1.0)
+    assert window.spend(1, now_s=11.0)
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -76,11 +76,14 @@
 
 def make_parts(call, placement):
     """Return what a request costs at each replica that takes part."""
-    first = placement.first
-    parts = [Part(first.id, placement.part_read_s, call.size.tokens, True)]
+    read_s = placement.part_read_s
+    held = sum(share.tokens for share in placement.holders)
+    parts = [Part(placement.first.id, read_s, call.size.tokens - held, True)]
     parts += [
-        Part(helper.id, placement.part_read_s, 0, False) for helper in placement.helpers
+        Part(share.replica.id, read_s, share.tokens, False)
+        for share in placement.holders
     ]
+    parts += [Part(helper.id, read_s, 0, False) for helper in placement.helpers]
     return tuple(parts)
 
 
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -83,6 +83,7 @@
         heard = [name for name, at_s in relay.board.heard_s.items() if at_s > since_s]
         few = not relay.peers.alive(now_s=now_s)
         return Hello(
+            fleet=relay.peers.fleet,
             node=relay.node,
             address=relay.settings.peer_address,
             failure_domain=relay.settings.failure_domain,
@@ -108,6 +109,9 @@
     def take(self, message, *, now_s):
         """Take one message in."""
         board = self.relay.board
+        if not self._is_ours(message):
+            self.relay.counters.add("peers.strange_datagram")
+            return
         match message:
             case Started(node, job, parts, lasts_s):
                 board.start(Job(job, node, parts, now_s, now_s + lasts_s), now_s=now_s)
@@ -118,6 +122,16 @@
             case Hello():
                 self._take_hello(message, now_s=now_s)
 
+    def _is_ours(self, message):
+        """Tell whether a message comes from a node of this fleet.
+
+        Addresses are used again. A node of another fleet that was given an old one's
+        would fill this fleet's board, and its configuration could be taken over.
+        """
+        if isinstance(message, Hello):
+            return message.fleet == self.relay.peers.fleet
+        return self.relay.peers.is_peer(message.node)
+
     def _take_hello(self, hello, *, now_s):
         """Take a greeting in, and answer it where it asks for that."""
         relay = self.relay
--- a/lycheetide/relay/_ingress.py
+++ b/lycheetide/relay/_ingress.py
@@ -161,6 +161,7 @@
             "took_ms": round((now_s - request.received_s) * 1e3),
             "cause": str(error) if error else "",
             "version": relay.table.routing.version if relay.table else 0,
+            **reply.notes,
         },
     )
 
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -57,7 +57,9 @@
     candidates = list_candidates(relay, call)
     if call.size.prompt_tokens:
         engine = call.service.engine or ANY_ENGINE
-        placement = choose_prompt(engine, call.size, candidates)
+        placement = choose_prompt(
+            engine, call.size, candidates, target_s=call.route.target_latency_s
+        )
     else:
         placement = choose_plain(candidates)
     if placement is None:
--- a/lycheetide/relay/_reply.py
+++ b/lycheetide/relay/_reply.py
@@ -19,6 +19,11 @@
         self._closes = closes
         self.is_started = False
         self.status = 0
+        self.notes = {}
+
+    def note(self, **fields):
+        """Keep what the log's line on the request's end should show."""
+        self.notes.update(fields)
 
     async def start(self, status, headers, *, length=None):
         """Write the head.
--- a/lycheetide/relay/_serve.py
+++ b/lycheetide/relay/_serve.py
@@ -62,6 +62,9 @@
     """
     now_s = read_clock()
     relay.retries(call.service.name).note_request(now_s=now_s)
+    reply.note(
+        route=call.route.name, customer=call.customer.name if call.customer else ""
+    )
     serve = serve_stream if call.route.kind is Kind.STREAM else serve_plain
     with anyio.move_on_after(max(0.0, call.left_s(now_s=now_s))) as scope:
         await serve(relay, call, reply)
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -73,7 +73,7 @@
         self.registry = Source({})
         self.replicas = ReplicaTable()
         self.board = Board(short_read_s=SHORT_READ_S)
-        self.peers = Peers(settings.peer_address)
+        self.peers = Peers(settings.peer_address, fleet=settings.store_address)
         self.pool = ChannelPool()
         self.active = 0
         self.is_leaving = False
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -46,6 +46,10 @@
         Events passed on.
     passed_s : float
         When the last of them was.
+    first_s : float
+        Time from the request to the first of them.
+    longest_pause_s : float
+        Longest time between two of them.
     """
 
     last_id: bytes = b""
@@ -53,6 +57,8 @@
     at_s: float = 0.0
     events: int = 0
     passed_s: float = 0.0
+    first_s: float = 0.0
+    longest_pause_s: float = 0.0
 
 
 async def serve_stream(relay, call, reply):
@@ -66,6 +72,18 @@
         If it broke off after a part was written and can't go on.
     """
     progress = Progress()
+    try:
+        await _keep_trying(relay, call, reply, progress)
+    finally:
+        reply.note(
+            events=progress.events,
+            first_ms=round(progress.first_s * 1e3),
+            longest_pause_ms=round(progress.longest_pause_s * 1e3),
+        )
+
+
+async def _keep_trying(relay, call, reply, progress):
+    """Send a call to replicas until its stream is complete."""
     while True:
         try:
             await run_attempt(relay, call, reply, progress)
@@ -236,10 +254,12 @@
     await reply.write(event.data)
     now_s = read_clock()
     if progress.events == 0:
-        since_s = now_s - call.request.received_s
-        relay.exposition.observe("first_event", since_s, kind="stream")
+        progress.first_s = now_s - call.request.received_s
+        relay.exposition.observe("first_event", progress.first_s, kind="stream")
     else:
-        relay.exposition.observe("pause", now_s - progress.passed_s, kind="stream")
+        pause_s = now_s - progress.passed_s
+        progress.longest_pause_s = max(progress.longest_pause_s, pause_s)
+        relay.exposition.observe("pause", pause_s, kind="stream")
     progress.passed_s = now_s
     progress.events += 1
     if event.id:
--- a/lycheetide/relay/_tickets.py
+++ b/lycheetide/relay/_tickets.py
@@ -11,9 +11,12 @@
 import anyio
 
 from lycheetide.httpclient import ChannelBroken, ConnectFailed
-from lycheetide.placement import Placement, read_s, share_memory
-from lycheetide.placement._choose import HELPERS_MOST, PART_READ_S
-from lycheetide.placement._tickets import needs_sharing
+from lycheetide.placement import (
+    Placement,
+    needs_sharing,
+    share_memory,
+    spread_prompt,
+)
 from lycheetide.relay._place import list_candidates
 from lycheetide.relay._state import read_clock
 from lycheetide.routes import ANY_ENGINE
@@ -98,9 +101,11 @@
         held = [(one.address, ticket, tokens) for one, ticket, tokens in wanted]
         if all(results.values()):
             tickets = tuple((address, ticket) for address, ticket, _ in held)
-            return Memory(
-                tickets, _place(engine, call, first, shares, candidates)
-            ), held
+            placement = spread_prompt(
+                engine, call.size, first, shares, candidates,
+                target_s=call.route.target_latency_s,
+            )  # fmt: skip
+            return Memory(tickets, placement), held
         for replica, ticket, _ in wanted:
             if not results[ticket]:
                 without.add(replica.id)
@@ -110,22 +115,6 @@
     raise NoMemory(f"{call.size.tokens} tokens: reservations were refused")
 
 
-def _place(engine, call, first, shares, candidates):
-    """Return where the prompt goes: the holders, and further ones to read faster."""
-    holders = [share.replica for share in shares]
-    taken = {first.id, *(holder.id for holder in holders)}
-    others = sorted(
-        (one for one in candidates if one.id not in taken and not one.is_recovering),
-        key=lambda one: (one.backlog_s, one.short_writers, -one.rank),
-    )
-    whole_s = read_s(engine, call.size.prompt_tokens)
-    wanted = min(HELPERS_MOST, round(whole_s / PART_READ_S)) - len(holders)
-    helpers = tuple(others[: max(0, wanted)])
-    part_s = whole_s / (1 + len(holders) + len(helpers))
-    last_s = max(one.backlog_s for one in (first, *holders, *helpers))
-    return Placement(first, helpers, last_s + part_s + 0.1, part_s)
-
-
 async def _order(relay, outgoing, address):
     """Send an order; return its status, or 0 where there was no answer."""
     try:
--- a/lycheetide/relay/tests/test_knowledge.py
+++ b/lycheetide/relay/tests/test_knowledge.py
@@ -87,9 +87,9 @@
         config = make_config(version=7, tenants=[{"name": CUSTOMER, "apiKeys": []}])
         store.put("keyed.op", "config", config)
         took_s = await fleet.wait_for(lambda: knows(cut, 7))
-        answer = await fleet.look(relay=1)
+        refused = await fleet.look(relay=1)
     assert took_s < NOTICE_S + 1.0
-    assert answer.status_code == 401
+    assert refused.status_code == 401
 
 
 async def test_a_draining_replica_gets_no_new_work():
@@ -215,6 +215,23 @@
     assert answer is None or answer.status_code == 503
 
 
+async def test_a_node_of_another_fleet_is_no_peer():
+    """An address was given to a node of another fleet, and old peers still greet it.
+
+    Taken for a peer, it would pass its own configuration and replicas on, and callers
+    would get answers of another fleet.
+    """
+    async with Relayed() as fleet, Relayed(config=make_config(version=99)) as other:
+        ours, strange = fleet.relays[0], other.relays[0]
+        now_s = time.monotonic()
+        ours.peers.learn(strange.settings.peer_address, now_s=now_s)
+        strange.peers.learn(ours.settings.peer_address, now_s=now_s)
+        await fleet.wait_for(lambda: ours.counters.counts["peers.strange_datagram"])
+        await anyio.sleep(0.4)
+        assert ours.peers.alive(now_s=now_s) == []
+        assert ours.table.routing.version == 1
+
+
 async def test_a_cold_replica_gets_no_more_than_its_share_from_all_nodes():
     """A replica has just started; the other is full of work.
 
@@ -232,8 +249,12 @@
                 for relay in range(3):
                     group.start_soon(lambda index: fleet.look(relay=index), relay)
                 await anyio.sleep(1 / 90)
-        cold = len(fleet.replicas[0].seen)
-    assert cold <= 20 * 1.5 + 5
+        starts_s = fleet.replicas[0].seen_s
+        most = max(
+            sum(1 for at_s in starts_s if begun_s <= at_s < begun_s + 1.0)
+            for begun_s in starts_s
+        )
+    assert 0 < most <= 20
 
 
 async def test_memory_of_a_huge_prompt_is_held_while_it_runs_and_then_freed():
--- a/standins/http.py
+++ b/standins/http.py
@@ -3,6 +3,7 @@
 import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 import h11
@@ -98,7 +99,7 @@
     @staticmethod
     async def _read(parser, stream):
         """Return the next request, or None at the end of the connection."""
-        head = None
+        head: Any = None
         body = b""
         while True:
             event = parser.next_event()
--- a/standins/relayed.py
+++ b/standins/relayed.py
@@ -2,6 +2,7 @@
 
 import time
 from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any
 
 import anyio
 import httpx
@@ -70,7 +71,7 @@
         self.stops = []
         self.count = relays
         self.config = config or make_config()
-        self.http = None
+        self.http: Any = None
         self.running = 0
         self._attempts = 0
         self._stack = AsyncExitStack()
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -38,6 +38,8 @@
     ----------
     seen : list of Request
         All requests but orders.
+    seen_s : list of float
+        When they came.
     runs : list of str
         Attempt ids that it began to work on.
     cancelled_s : list of float
@@ -52,6 +54,7 @@
         self.events = events
         self.pause_s = pause_s
         self.seen = []
+        self.seen_s = []
         self.runs = []
         self.orders = []
         self.tickets = {}
@@ -79,6 +82,7 @@
         if request.target == "/-/order":
             return self._take_order(json.loads(request.body))
         self.seen.append(request)
+        self.seen_s.append(time.monotonic())
         step = self.script.pop(0) if self.script else self.always
         expected = request.headers["lycheetide-expect-instance"]
         if step == "other" or expected != self.name:
