Believe a removal at once where only this node was cut off from the store

Change: removals wait only after an outage in which no peer had read the registry.

Ruled out: slow polling (the removal was read 34 ms after it was written).

Before: the new test fails. After: it passes, and that of lapsed entries as well.

--- a/lycheetide/platform/_store.py
+++ b/lycheetide/platform/_store.py
@@ -56,10 +56,13 @@
     ----------
     address : str
         "ip:port".
+    owner : object or None
+        Whose calls these are, for traces and tests.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, *, owner=None):
         self.address = address
+        self.owner = owner
         self.calls = 0
         self._channel = None
 
--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -61,12 +61,25 @@
         relay.exposition.observe("store_call", now_s - begun_s, kind=name)
     if not source.is_reachable:
         relay.log.info("The store answers.", extra={"topic": name})
-        if source.offset >= 0 and now_s - source.read_s > OUTAGE_S:
+        if was_out_for_all(relay, source, now_s=now_s):
             source.returned_s = now_s
     source.is_reachable = True
     take(relay, name, batch, now_s=now_s)
 
 
+def was_out_for_all(relay, source, *, now_s):
+    """Tell whether the store was out, and not only for this node.
+
+    Entries of living replicas lapse only while the store is away. Where it served
+    others meanwhile, a removal is real; to doubt it would send work to a replica that
+    has left.
+    """
+    since_s = now_s - OUTAGE_S
+    if source.offset < 0 or source.read_s > since_s:
+        return False
+    return all(peer.registry_read_s <= since_s for peer in relay.peers.peers.values())
+
+
 def note_failure(relay, name, source, error):
     """Note a read that failed."""
     relay.counters.add(f"store.failed.{name}")
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -88,7 +88,7 @@
 
     def make_store(self):
         """Return a client of the store."""
-        return self.adapter.StoreClient(self.settings.store_address)
+        return self.adapter.StoreClient(self.settings.store_address, owner=self)
 
     def lags_behind(self, *, now_s):
         """Tell whether a peer knows more of what operators wrote than this node."""
--- a/lycheetide/relay/tests/test_knowledge.py
+++ b/lycheetide/relay/tests/test_knowledge.py
@@ -5,6 +5,8 @@
 import anyio
 import pytest
 
+from lycheetide import platform
+from lycheetide.exchange import StoreUnavailable
 from standins.relayed import CUSTOMER, Relayed, make_config
 
 pytestmark = pytest.mark.anyio
@@ -177,6 +179,37 @@
     assert names == {"r-0"}
 
 
+async def test_a_replica_that_left_while_only_this_node_was_cut_off_gets_no_work():
+    """The store refuses one node for a while; a replica leaves without draining.
+
+    Taken for one whose entry has lapsed, it would get new work for two more seconds,
+    after it has ended.
+    """
+    async with Relayed(relays=2) as fleet:
+        cut, other = fleet.relays
+        await fleet.wait_for(lambda: cut.peers.alive(now_s=0.0))
+        real_read = platform.StoreClient.read
+
+        async def read(store, topic, offset, **times):
+            if store.owner is cut:
+                raise StoreUnavailable("refused")
+            return await real_read(store, topic, offset, **times)
+
+        platform.StoreClient.read = read
+        try:
+            await anyio.sleep(2.0)
+        finally:
+            platform.StoreClient.read = real_read
+        fleet.store.remove("keyed.servers", "r-0")
+        await fleet.wait_for(lambda: cut.registry.is_reachable)
+        await anyio.sleep(0.3)
+        service = cut.table.services["models"]
+        now_s = time.monotonic()
+        names = {one.id for one in cut.candidates(service, now_s=now_s)}
+        assert other.registry.is_reachable
+    assert names == {"r-1"}
+
+
 async def test_an_outage_of_the_store_stops_nobody():
     async with Relayed(relays=2) as fleet:
         fleet.store.down = "silent"
