Read the registry at one node a failure domain; open warm replicas to all nodes

Change: one node a failure domain reads and tells the others of changes at once; they compare digests in greetings and fetch what was lost; who hears no fresh knowledge reads. Warm replicas are bound by the count of what all nodes sent. Packing leaves two slots free. A call waits for half its target for a place in a cold replica's limit.

Ruled out: slow nodes and links (first events of idle replicas were on time); a waiting read of the registry (replicas write all the time).

--- a/lycheetide/board/__init__.py
+++ b/lycheetide/board/__init__.py
@@ -6,6 +6,7 @@
 
 from lycheetide.board._board import Board, Job, Part
 from lycheetide.board._messages import (
+    Changed,
     Ended,
     Hello,
     Message,
@@ -18,6 +19,7 @@
 
 __all__ = [
     "Board",
+    "Changed",
     "Ended",
     "Hello",
     "Job",
--- a/lycheetide/board/_messages.py
+++ b/lycheetide/board/_messages.py
@@ -78,6 +78,10 @@
         How much it knows of what operators and replicas wrote; -1 for nothing.
     registry_age_s : float
         How old its knowledge of the registry is.
+    registry_digest : int
+        The same at nodes that know the same replicas.
+    returned_age_s : float
+        How long ago the registry was back after an outage for all; below 0 for never.
     heard : tuple of str
         Replicas that it had answers from since its last hello.
     wants_reply : bool
@@ -95,13 +99,33 @@
     operator_offset: int
     registry_offset: int
     registry_age_s: float
+    registry_digest: int = 0
+    returned_age_s: float = -1.0
     heard: tuple[str, ...] = ()
     wants_reply: bool = False
     is_leaving: bool = False
     peers: tuple[str, ...] = ()
 
 
-Message = Started | Ended | Suspected | Hello
+class Changed(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """A node has read of replicas that changed.
+
+    Parameters
+    ----------
+    node : str
+        Who read it.
+    records : tuple of (int, str, bytes or None)
+        Offset, replica and what it wrote; None where its entry is gone.
+    returned_age_s : float
+        How long ago the registry was back after an outage for all; below 0 for never.
+    """
+
+    node: str
+    records: tuple[tuple[int, str, bytes | None], ...]
+    returned_age_s: float = -1.0
+
+
+Message = Started | Ended | Suspected | Hello | Changed
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- a/lycheetide/placement/__init__.py
+++ b/lycheetide/placement/__init__.py
@@ -11,7 +11,7 @@
     rank_replicas,
     spread_prompt,
 )
-from lycheetide.placement._cold import cold_allowance, may_send_to_cold
+from lycheetide.placement._cold import cold_allowance, may_send
 from lycheetide.placement._estimate import (
     answer_s,
     first_event_s,
@@ -33,7 +33,7 @@
     "choose_prompt",
     "cold_allowance",
     "first_event_s",
-    "may_send_to_cold",
+    "may_send",
     "needs_sharing",
     "pass_s",
     "rank_replicas",
--- a/lycheetide/placement/_choose.py
+++ b/lycheetide/placement/_choose.py
@@ -27,6 +27,8 @@
 """What each further part has to save, since it disturbs one more replica."""
 SHORT_WRITERS_MOST = 6
 """Short requests that are packed onto one replica before the next one is used."""
+SLOTS_KEPT = 2
+"""Slots that packing leaves free, since what others send is known a little late."""
 SHORT_BACKLOG_S = 0.05
 """Reading ahead of a short prompt up to which packing goes on."""
 DISTURBED_COST_S = 0.05
@@ -238,7 +240,7 @@
     packed = [
         candidate
         for candidate in candidates
-        if candidate.writers < min(SHORT_WRITERS_MOST, candidate.slots)
+        if candidate.writers < min(SHORT_WRITERS_MOST, candidate.slots - SLOTS_KEPT)
         and candidate.backlog_s <= SHORT_BACKLOG_S
         and not (candidate.is_recovering or candidate.is_new)
     ]
--- a/lycheetide/placement/_cold.py
+++ b/lycheetide/placement/_cold.py
@@ -9,6 +9,8 @@
 
 SAFETY = 0.6
 """Part of the limit that is used: nodes that know fewer peers take larger shares."""
+WARM_STARTS = 4
+"""What one node may send a second to a warm replica of a service that can be cold."""
 
 
 def cold_allowance(limit_per_s, node, nodes, replica):
@@ -46,18 +48,26 @@
     return 1 if node in chosen else 0
 
 
-def may_send_to_cold(limit_per_s, *, allowance, own_starts, all_starts):
-    """Tell whether one more request may be sent now.
+def may_send(limit_per_s, *, allowance, own_starts, all_starts, is_cold):
+    """Tell whether one more request may be sent to a replica now.
+
+    A warm replica may turn cold without a word, and is known to be cold a second or
+    two later; so the limit holds for it too, but by the count of what all nodes sent.
+    Each node's share would leave most of a large fleet's nodes without most replicas.
 
     Parameters
     ----------
     limit_per_s : float
-        What the replica bears from all nodes.
+        What the replica bears from all nodes while it is cold.
     allowance : int or None
         This node's share.
     own_starts, all_starts : int
         Requests sent there within the last second by this node and by all.
+    is_cold : bool
+        Whether it is known to be cold.
     """
     if allowance is None:
         return True
-    return own_starts < allowance and all_starts < limit_per_s * SAFETY
+    if all_starts >= limit_per_s * SAFETY:
+        return False
+    return own_starts < (allowance if is_cold else max(allowance, WARM_STARTS))
--- a/lycheetide/platform/_store.py
+++ b/lycheetide/platform/_store.py
@@ -56,13 +56,10 @@
     ----------
     address : str
         "ip:port".
-    owner : object or None
-        Whose calls these are, for traces and tests.
     """
 
-    def __init__(self, address, *, owner=None):
+    def __init__(self, address):
         self.address = address
-        self.owner = owner
         self.calls = 0
         self._channel = None
 
--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -8,6 +8,7 @@
 
 from lycheetide.exchange import Batch, StoreUnavailable
 from lycheetide.httpclient import ChannelBroken, ConnectFailed, Outgoing
+from lycheetide.relay._sharing import decode_changes, make_changes, must_read
 from lycheetide.relay._state import read_clock
 from lycheetide.routes import RouteTable
 
@@ -18,6 +19,9 @@
 OUTAGE_S = 1.5
 """Reads that failed for so long were an outage, in which entries may have lapsed."""
 PEER_CALL_S = 1.0
+REMOVED_KEPT = 30_000
+"""Records kept of one topic before those of removed keys are dropped; more than twice
+the replicas of the largest fleet that we design for."""
 
 STATE_TARGETS = {"operator": b"/v1/operator", "registry": b"/v1/registry"}
 
@@ -38,8 +42,12 @@
     """Follow the list of replicas, for ever."""
     store = relay.make_store()
     while True:
-        await read_once(relay, store, "registry", wait_s=0.0)
-        await anyio.sleep(relay.settings.registry_interval_s)
+        now_s = read_clock()
+        reads = must_read(relay, now_s=now_s)
+        if reads:
+            await read_once(relay, store, "registry", wait_s=0.0)
+        pause_s = relay.settings.registry_interval_s
+        await anyio.sleep(pause_s if reads else pause_s / 2)
 
 
 async def read_once(relay, store, name, *, wait_s):
@@ -119,10 +127,25 @@
     if name == "operator":
         take_operator(relay, newer, batch)
     else:
-        take_registry(relay, newer, batch, now_s=now_s)
+        listed = batch.records if batch.is_listing else newer
+        taken = take_registry(relay, listed, batch, now_s=now_s)
+        forget_removed(source)
+        if taken and read_s is None:
+            for message in make_changes(relay, taken, now_s=now_s):
+                relay.send_datagram(message)
     source.offset = max(source.offset, batch.end)
 
 
+def forget_removed(source):
+    """Drop the records of removed keys once they are many."""
+    if len(source.records) > REMOVED_KEPT:
+        source.records = {
+            key: record
+            for key, record in source.records.items()
+            if record.value is not None
+        }
+
+
 def take_operator(relay, records, batch):
     """Put a newer configuration in force, and take domains out or back in."""
     closed = set(relay.closed)
@@ -165,7 +188,7 @@
 
 
 def take_registry(relay, records, batch, *, now_s):
-    """Take replicas in."""
+    """Take replicas in; return the changes that mattered."""
     services = relay.table.services if relay.table else ()
     skipped: list[str] = []
     changes = list(
@@ -184,7 +207,7 @@
     else:
         taken = relay.replicas.apply(changes, now_s=now_s, returned_s=returned_s)
         relay.replicas.end = max(relay.replicas.end, batch.end)
-    for change in taken or ():
+    for change in taken:
         entry = change.entry
         relay.log.info(
             "A replica changed.",
@@ -193,6 +216,28 @@
                    else "draining" if entry.is_draining else "ready",
                    "cold_ms": 0 if entry is None else round(entry.cold_s * 1e3)},
         )  # fmt: skip
+    return taken
+
+
+def note_return(relay, age_s, *, now_s):
+    """Take over when a peer saw the registry return from an outage for all."""
+    if age_s >= 0:
+        known_s = relay.registry.returned_s
+        told_s = now_s - age_s
+        relay.registry.returned_s = told_s if known_s is None else max(known_s, told_s)
+
+
+def take_changes(relay, message, *, now_s):
+    """Take in what a peer has read of replicas."""
+    note_return(relay, message.returned_age_s, now_s=now_s)
+    batch = decode_changes(message)
+    take(relay, "registry", batch, now_s=now_s, read_s=relay.registry.read_s)
+
+
+async def fetch_registry(relay, address):
+    """Fetch all that a peer knows of replicas; a message from it was lost."""
+    relay.counters.add("peers.fetched.registry")
+    await read_whole(relay, "registry", address)
 
 
 async def read_from_peer(relay, name):
@@ -208,15 +253,21 @@
     if not knowing:
         return
     peer = max(knowing, key=lambda one: getattr(one, offset))
+    await read_whole(relay, name, peer.address)
+
+
+async def read_whole(relay, name, address):
+    """Take in all that a peer knows of one topic."""
     try:
-        batch = await fetch_state(relay, peer.address, STATE_TARGETS[name])
+        batch = await fetch_state(relay, address, STATE_TARGETS[name])
     except (ConnectFailed, ChannelBroken, msgspec.MsgspecError) as error:
         relay.log.info(
-            "A peer gave no state.", extra={"peer": peer.address, "cause": str(error)}
+            "A peer gave no state.", extra={"peer": address, "cause": str(error)}
         )
         return
     relay.counters.add(f"peers.gave.{name}")
-    take(relay, name, batch, now_s=now_s, read_s=source.read_s)
+    read_s = getattr(relay, name).read_s
+    take(relay, name, batch, now_s=read_clock(), read_s=read_s)
 
 
 async def fetch_state(relay, address, target):
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from lycheetide.board import (
+    Changed,
     Ended,
     Hello,
     Job,
@@ -13,10 +14,12 @@
     encode_message,
 )
 from lycheetide.exchange import StoreUnavailable
+from lycheetide.relay._follow import fetch_registry, note_return, take_changes
+from lycheetide.relay._sharing import compare, is_reader, tell_return
 from lycheetide.relay._state import read_clock
 
 HELLO_S = 0.3
-"""Pause between greetings in a small fleet."""
+"""Pause between greetings in a small fleet, and of nodes that read for others."""
 HELLO_S_PER_NODE = 0.012
 """Pause between greetings for each node of a large one: 80 greetings a second come in
 at most, about half a percent of a core."""
@@ -72,6 +75,8 @@
             for address in targets:
                 self.send(data, address)
             pause_s = max(HELLO_S, HELLO_S_PER_NODE * len(targets))
+            if is_reader(self.relay, now_s=now_s):
+                pause_s = HELLO_S
             with anyio.move_on_after(pause_s):
                 await self._news.wait()
             self._news = anyio.Event()
@@ -90,6 +95,8 @@
             operator_offset=relay.operator.offset,
             registry_offset=relay.registry.offset,
             registry_age_s=min(1e6, now_s - relay.registry.read_s),
+            registry_digest=relay.replicas.digest(),
+            returned_age_s=tell_return(relay, now_s=now_s),
             heard=tuple(heard[:HEARD_MOST]),
             wants_reply=few if wants_reply is None else wants_reply,
             is_leaving=relay.is_leaving,
@@ -119,6 +126,8 @@
                 board.end(node, job, now_s=now_s)
             case Suspected(_, replica):
                 board.suspect(replica, now_s=now_s)
+            case Changed():
+                take_changes(self.relay, message, now_s=now_s)
             case Hello():
                 self._take_hello(message, now_s=now_s)
 
@@ -146,6 +155,10 @@
             relay.board.hear(replica, now_s=now_s)
         for address in hello.peers:
             relay.peers.learn(address, now_s=now_s)
+        note_return(relay, hello.returned_age_s, now_s=now_s)
+        if compare(relay, hello, now_s=now_s):
+            relay.differs_since_s = now_s
+            relay.tasks.start_soon(fetch_registry, relay, hello.address)
         if hello.wants_reply or is_new:
             known = [peer.address for peer in relay.peers.alive(now_s=now_s)]
             reply = self.make_hello(
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -1,10 +1,12 @@
 """Choose where a call goes now, within cold limits and the retry budget."""
 
+import anyio
+
 from lycheetide.placement import (
     choose_plain,
     choose_prompt,
     cold_allowance,
-    may_send_to_cold,
+    may_send,
 )
 from lycheetide.relay._outcomes import Cause, Refusal
 from lycheetide.relay._state import read_clock
@@ -14,6 +16,11 @@
 """When to ask again where no replica takes work: a registry's news come within 1 s."""
 START_WINDOW_S = 1.0
 """Cold limits are given per second."""
+WAIT_S = 0.04
+"""Pause before a call looks again for a place."""
+WAIT_TARGETS = 0.5
+"""Part of its target for which a call waits for a place; one that comes later than
+that is refused, so that its caller can come back in time."""
 
 
 def pick_service(relay, route):
@@ -31,41 +38,60 @@
     if limit <= 0:
         return True
     nodes = relay.living_nodes(now_s=now_s)
-    allowance = cold_allowance(limit, relay.node, nodes, candidate.id)
-    own = relay.own_starts(candidate.id, START_WINDOW_S, now_s=now_s)
-    everyone = relay.board.starts_within(candidate.id, START_WINDOW_S, now_s=now_s)
-    return may_send_to_cold(
-        limit, allowance=allowance, own_starts=own, all_starts=everyone
+    return may_send(
+        limit,
+        allowance=cold_allowance(limit, relay.node, nodes, candidate.id),
+        own_starts=relay.own_starts(candidate.id, START_WINDOW_S, now_s=now_s),
+        all_starts=relay.board.starts_within(candidate.id, START_WINDOW_S, now_s=now_s),
+        is_cold=candidate.is_new,
     )
 
 
 def list_candidates(relay, call):
-    """Return the replicas that may get a call now."""
+    """Return the replicas that may get a call now.
+
+    Returns
+    -------
+    open_now : list of Candidate
+        Those within their cold limits.
+    usable : list of Candidate
+        All that take work.
+    """
     now_s = read_clock()
-    candidates = relay.candidates(call.service, now_s=now_s, without=call.tried)
-    return [one for one in candidates if is_open(relay, call.service, one, now_s=now_s)]
+    usable = relay.candidates(call.service, now_s=now_s, without=call.tried)
+    open_now = [one for one in usable if is_open(relay, call.service, one, now_s=now_s)]
+    return open_now, usable
+
+
+def find_place(call, candidates):
+    """Return where a call goes, or None."""
+    if not call.size.prompt_tokens:
+        return choose_plain(candidates)
+    engine = call.service.engine or ANY_ENGINE
+    target_s = call.route.target_latency_s
+    return choose_prompt(engine, call.size, candidates, target_s=target_s)
 
 
-def choose(relay, call):
+async def choose(relay, call):
     """Return where a call goes.
 
     Raises
     ------
     Refusal
-        If no replica takes it; it isn't kept waiting.
+        If no replica takes it. It is kept waiting only for a moment, where a cold
+        replica takes more soon or memory becomes free.
     """
-    candidates = list_candidates(relay, call)
-    if call.size.prompt_tokens:
-        engine = call.service.engine or ANY_ENGINE
-        placement = choose_prompt(
-            engine, call.size, candidates, target_s=call.route.target_latency_s
-        )
-    else:
-        placement = choose_plain(candidates)
-    if placement is None:
-        cause = Cause.NO_MEMORY if candidates else Cause.NO_REPLICA
-        raise make_refusal(call, cause)
-    return placement
+    begun_s = read_clock()
+    while True:
+        candidates, usable = list_candidates(relay, call)
+        placement = find_place(call, candidates)
+        if placement is not None:
+            return placement
+        waited_s = read_clock() - begun_s
+        if not usable or waited_s >= WAIT_TARGETS * call.route.target_latency_s:
+            cause = Cause.NO_MEMORY if candidates else Cause.NO_REPLICA
+            raise make_refusal(call, cause)
+        await anyio.sleep(WAIT_S)
 
 
 def make_refusal(call, cause, *, message=""):
--- a/lycheetide/relay/_plain.py
+++ b/lycheetide/relay/_plain.py
@@ -26,7 +26,7 @@
     """
     kept: tuple[Answer, bytes] | None = None
     while True:
-        placement = choose(relay, call) if kept is None else choose_or_none(relay, call)
+        placement = await (choose if kept is None else choose_or_none)(relay, call)
         if placement is None:
             break
         call.tried.add(placement.first.id)
@@ -52,10 +52,10 @@
     await reply.give(answer.status, headers, body)
 
 
-def choose_or_none(relay, call):
+async def choose_or_none(relay, call):
     """Return where to try once more, or None; there is an answer to fall back on."""
     try:
-        return choose(relay, call)
+        return await choose(relay, call)
     except Refusal:
         return None
 
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -81,6 +81,7 @@
         self.send_datagram = None
         self.tell_news = None
         self.operator_read = None
+        self.differs_since_s = None
         self._windows: dict[str, RetryWindow] = {}
         self._ranks: tuple[frozenset, dict] = (frozenset(), {})
         self._job_count = 0
@@ -88,7 +89,7 @@
 
     def make_store(self):
         """Return a client of the store."""
-        return self.adapter.StoreClient(self.settings.store_address, owner=self)
+        return self.adapter.StoreClient(self.settings.store_address)
 
     def lags_behind(self, *, now_s):
         """Tell whether a peer knows more of what operators wrote than this node."""
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -110,7 +110,7 @@
     """
     try:
         async with hold_memory(relay, call) as memory:
-            placement = memory.placement or choose(relay, call)
+            placement = memory.placement or await choose(relay, call)
             call.tried.add(placement.first.id)
             try:
                 async with announced(relay, call, placement):
--- a/lycheetide/relay/_tickets.py
+++ b/lycheetide/relay/_tickets.py
@@ -83,9 +83,8 @@
     """Reserve all shares, or none and raise ``NoMemory``."""
     without = set()
     for _ in range(TRIES):
-        candidates = [
-            one for one in list_candidates(relay, call) if one.id not in without
-        ]
+        open_now, _ = list_candidates(relay, call)
+        candidates = [one for one in open_now if one.id not in without]
         first, shares = share_memory(engine, call.size.tokens, candidates)
         if first is None:
             raise NoMemory(f"{call.size.tokens} tokens at {len(candidates)} replicas")
--- /dev/null
+++ b/lycheetide/relay/tests/test_sharing.py
@@ -0,0 +1,94 @@
+"""A few nodes read the registry for all; messages between nodes are lost."""
+
+import time
+
+import anyio
+import pytest
+
+from lycheetide.board import Changed
+from lycheetide.relay._sharing import is_reader, must_read
+from standins.relayed import Relayed
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def start_fleet(fleet):
+    """Wait until all relays know one another and which one reads."""
+    now_s = time.monotonic()
+    others = len(fleet.relays) - 1
+    await fleet.wait_for(
+        lambda: all(len(r.peers.alive(now_s=now_s)) == others for r in fleet.relays)
+    )
+    readers = [r for r in fleet.relays if is_reader(r, now_s=time.monotonic())]
+    assert len(readers) == 1
+    followers = [relay for relay in fleet.relays if relay not in readers]
+    return readers[0], followers
+
+
+async def test_one_node_reads_and_all_know():
+    async with Relayed(relays=4) as fleet:
+        _, followers = await start_fleet(fleet)
+        await anyio.sleep(0.7)
+        counts = fleet.store.calls.copy()
+        fleet.store.put(
+            "keyed.servers", "r-0", fleet.replicas[0].entry(state="draining", seq=2)
+        )
+        took_s = await fleet.wait_for(
+            lambda: all(
+                relay.replicas.replicas["r-0"].entry.is_draining
+                for relay in fleet.relays
+            )
+        )
+        now_s = time.monotonic()
+        assert not any(must_read(relay, now_s=now_s) for relay in followers)
+        reads = [one for one in fleet.store.calls[len(counts) :] if "servers" in one]
+    assert took_s < 0.5
+    assert len(reads) <= 12
+
+
+async def test_a_lost_message_is_made_up_for():
+    """The datagram that tells of a draining replica never arrives.
+
+    The node would send it new work until it ends, and callers' requests with it.
+    """
+    async with Relayed(relays=2) as fleet:
+        reader, (follower,) = await start_fleet(fleet)
+        tell = reader.send_datagram
+
+        def lose(message):
+            if not isinstance(message, Changed):
+                tell(message)
+
+        reader.send_datagram = lose
+        fleet.store.put(
+            "keyed.servers", "r-0", fleet.replicas[0].entry(state="draining", seq=2)
+        )
+        took_s = await fleet.wait_for(
+            lambda: follower.replicas.replicas["r-0"].entry.is_draining
+        )
+        fetched = follower.counters.counts["peers.fetched.registry"]
+        fallback = follower.registry.read_s
+    assert took_s < 1.5
+    assert fetched >= 1 or fallback > 0
+
+
+async def test_a_reader_that_falls_silent_is_replaced():
+    """The node that reads for all is gone; nobody else has read for a while."""
+    async with Relayed(relays=3) as fleet:
+        reader, followers = await start_fleet(fleet)
+        fleet.stops[fleet.relays.index(reader)].set()
+        await anyio.sleep(0.2)
+        fleet.store.put(
+            "keyed.servers", "r-0", fleet.replicas[0].entry(state="draining", seq=2)
+        )
+        took_s = await fleet.wait_for(
+            lambda: all(
+                relay.replicas.replicas["r-0"].entry.is_draining for relay in followers
+            )
+        )
+    assert took_s < 2.0
--- a/lycheetide/replicas/_table.py
+++ b/lycheetide/replicas/_table.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 
+import xxhash
+
 RETURN_GRACE_S = 2.0
 """How long after an outage of the registry an entry may still come back.
 
@@ -111,6 +113,7 @@
         self.replicas: dict[str, Replica] = {}
         self.end = 0
         self._ages: dict[str, tuple[int, int]] = {}
+        self._digest: int | None = None
 
     def apply(self, changes: Iterable[Change], *, now_s, returned_s=None):
         """Take records in.
@@ -139,6 +142,7 @@
 
     def _apply_one(self, change, *, now_s, returned_s):
         """Take one record in; tell whether it changed anything."""
+        self._digest = None
         known = self.replicas.get(change.id)
         if known is not None and change.offset <= known.offset:
             return False
@@ -166,17 +170,16 @@
             return False
         self._ages[change.id] = max(last, entry.age_key)
         is_new = known is None or entry.born_ms != known.entry.born_ms
+        turned_cold = entry.cold_s > 0 and not (known and known.is_cold(now_s=now_s))
         self.replicas[change.id] = Replica(
             entry=entry,
             offset=change.offset,
             cold_until_s=now_s + entry.cold_s if entry.cold_s > 0 else now_s,
             seen_s=now_s if is_new else known.seen_s,
         )
-        return (
-            is_new
-            or known.entry.is_draining != entry.is_draining
-            or (known.gone_s is not None)
-        )
+        if is_new or turned_cold or known.gone_s is not None:
+            return True
+        return known.entry.is_draining != entry.is_draining
 
     @staticmethod
     def _is_repeat(known, entry):
@@ -188,19 +191,25 @@
 
         A listing may be older than what is known, and says so by its end; then
         nothing is taken for gone by its absence.
+
+        Returns
+        -------
+        list of Change
+            As ``apply``.
         """
         listed = list(changes)
-        self.apply(listed, now_s=now_s, returned_s=returned_s)
+        taken = self.apply(listed, now_s=now_s, returned_s=returned_s)
         if end < self.end:
-            return
+            return taken
         present = {change.id for change in listed}
         missing = (
             Change(name, max(end, replica.offset + 1), None)
             for name, replica in list(self.replicas.items())
             if name not in present and replica.offset < end
         )
-        self.apply(missing, now_s=now_s, returned_s=returned_s)
+        taken += self.apply(missing, now_s=now_s, returned_s=returned_s)
         self.end = end
+        return taken
 
     def usable(self, service, *, now_s, closed=frozenset()) -> Iterator[Replica]:
         """Yield the replicas of a service that take new work.
@@ -221,6 +230,21 @@
             if replica.is_usable(now_s=now_s):
                 yield replica
 
+    def digest(self):
+        """Return a number that is the same at nodes that know the same replicas."""
+        if self._digest is None:
+            self._digest = self._make_digest()
+        return self._digest
+
+    def _make_digest(self):
+        """Return the digest of what is known now."""
+        known = sorted(
+            f"{name} {replica.entry.born_ms} {replica.entry.is_draining}"
+            for name, replica in self.replicas.items()
+            if replica.gone_s is None
+        )
+        return xxhash.xxh32_intdigest("\n".join(known).encode())
+
     def _forget(self, *, now_s):
         """Drop replicas that have been gone for long."""
         gone = [
--- a/lycheetide/replicas/tests/test_table.py
+++ b/lycheetide/replicas/tests/test_table.py
@@ -92,3 +92,30 @@
     remove(table, 1, now_s=1.0)
     put(table, 2, make_entry("b"), now_s=100.0)
     assert set(table.replicas) == {"b"}
+
+
+def test_tables_that_know_the_same_have_the_same_digest():
+    """Nodes compare digests to find out that a message was lost."""
+    one, other = ReplicaTable(), ReplicaTable()
+    put(one, 0, make_entry())
+    put(one, 3, make_entry("b"))
+    put(other, 3, make_entry("b"))
+    assert one.digest() != other.digest()
+    put(other, 0, make_entry())
+    assert one.digest() == other.digest()
+    put(one, 5, make_entry(sequence=2))
+    assert one.digest() == other.digest()
+    put(one, 6, make_entry(sequence=3, is_draining=True))
+    assert one.digest() != other.digest()
+    remove(one, 7, "b")
+    remove(other, 7, "b")
+    put(other, 6, make_entry(sequence=3, is_draining=True))
+    assert one.digest() == other.digest()
+
+
+def test_a_replica_that_turns_cold_again_is_a_change_to_tell():
+    table = ReplicaTable()
+    put(table, 0, make_entry())
+    assert put(table, 1, make_entry(sequence=2)) == []
+    assert put(table, 2, make_entry(sequence=3, cold_s=3.0), now_s=1.0)
+    assert put(table, 3, make_entry(sequence=4, cold_s=2.0), now_s=2.0) == []
--- a/lycheetide/settings/_relay.py
+++ b/lycheetide/settings/_relay.py
@@ -37,8 +37,8 @@
     log_level: str = "INFO"
     log_lines_per_s: float = 60.0
     idle_s: float = 30.0
-    operator_wait_s: float = 8.0
-    registry_interval_s: float = 0.7
+    operator_wait_s: float = 20.0
+    registry_interval_s: float = 0.5
     out_of_touch_s: float = 10.0
     retry_ratio: float = 0.2
     retry_extra: float = 50.0
--- a/standins/relayed.py
+++ b/standins/relayed.py
@@ -100,7 +100,7 @@
         self.group.cancel_scope.cancel()
         return await self._stack.__aexit__(*error)
 
-    async def start_relay(self, *, wait=True):
+    async def start_relay(self, *, wait=True, adapter=platform):
         """Start one more relay."""
         index = len(self.stops)
         stop = anyio.Event()
@@ -121,7 +121,7 @@
             self.running += 1
             try:
                 await run_relay(
-                    settings, platform, wait_for_stop=wait_for_stop,
+                    settings, adapter, wait_for_stop=wait_for_stop,
                     on_start=self.relays.append,
                 )  # fmt: skip
             finally:
