Read changed settings again without a cut; ask the owner in one function

Cause: a relay answered SIGHUP with a log line that claimed more than it did, and a file that changed without a signal was never read. In the own interface the choice 'this node or a peer' stood four times.

Ruled out: watching by inotify (not to be had on the hosts).

--- a/lycheetide/cli/_main.py
+++ b/lycheetide/cli/_main.py
@@ -52,12 +52,12 @@
         """Run until SIGTERM."""
         settings = load_settings(self.settings)
         if isinstance(settings, RelaySettings):
-            self._run_relay(settings)
+            self._run_relay(settings, self.settings)
             return
         self._run_own(settings)
 
     @staticmethod
-    def _run_relay(settings):
+    def _run_relay(settings, path):
         """Run in front of replicas that register themselves on a platform."""
         from lycheetide import platform
         from lycheetide.relay import run_relay
@@ -67,7 +67,11 @@
             node=settings.name,
             lines_per_s=settings.log_lines_per_s,
         )
-        anyio.run(run_relay, settings, platform)
+
+        async def run():
+            await run_relay(settings, platform, settings_path=path)
+
+        anyio.run(run)
 
     @staticmethod
     def _run_own(settings):
--- a/lycheetide/node/_permits.py
+++ b/lycheetide/node/_permits.py
@@ -23,6 +23,8 @@
 
 CALL_MARGIN_S = 0.5
 FINISH_S = 1.0
+ACQUIRE_S = _owner.SLICE_S + CALL_MARGIN_S
+"""An owner holds a call for a slice; the margin is for the way there and back."""
 RETRY_S = 0.05
 UNREACHED_RETRY_AFTER_S = 2.0
 
@@ -142,7 +144,13 @@
         asked_s = read_clock()
         request = _make_request(node, wish, cell, ticket_id, owner, asked_s)
         try:
-            reply = await _call_owner(node, owner, request)
+            reply = await _call_owner(
+                node,
+                owner,
+                "acquire",
+                request,
+                timeout_s=ACQUIRE_S,
+            )
         except PeerUnreached:
             node.counters.add("permits.owner_unreached")
             node.tasks.start_soon(withdraw, node, cell, ticket_id)
@@ -199,16 +207,26 @@
     )
 
 
-async def _call_owner(node, owner, request):
-    """Call the owner; this node itself is called without a network."""
+LOCAL_CALLS = {
+    "acquire": _owner.acquire,
+    "adopt": _owner.adopt,
+    "finish": _owner.finish,
+    "renew": _owner.renew,
+}
+"""What an owner answers, for calls within this node."""
+
+
+async def _call_owner(node, owner, name, request, *, timeout_s=FINISH_S):
+    """Call the owner; this node itself is called without a network.
+
+    Raises
+    ------
+    PeerUnreached
+        If another node gives no answer.
+    """
     if owner == node.own:
-        return await _owner.acquire(node, request)
-    return await node.peers.call(
-        owner.peer_address,
-        "acquire",
-        request,
-        timeout_s=_owner.SLICE_S + CALL_MARGIN_S,
-    )
+        return await LOCAL_CALLS[name](node, request)
+    return await node.peers.call(owner.peer_address, name, request, timeout_s=timeout_s)
 
 
 def _register(node, wish, cell, ticket_id, reply, now_s):
@@ -278,11 +296,8 @@
     owner = node.membership.find_owner(request.cell)
     if owner is None:
         return
-    if owner == node.own:
-        await _owner.finish(node, request)
-        return
     try:
-        await node.peers.call(owner.peer_address, "finish", request, timeout_s=FINISH_S)
+        await _call_owner(node, owner, "finish", request)
     except PeerUnreached:
         node.counters.add("permits.finish_lost")
 
@@ -305,15 +320,10 @@
     if owner is None:
         return
     request = RenewRequest(cell, permit_ids)
-    if owner == node.own:
-        reply = await _owner.renew(node, request)
-    else:
-        try:
-            reply = await node.peers.call(
-                owner.peer_address, "renew", request, timeout_s=FINISH_S
-            )
-        except PeerUnreached:
-            return
+    try:
+        reply = await _call_owner(node, owner, "renew", request)
+    except PeerUnreached:
+        return
     permits = tuple(
         node.permits[permit_id].permit
         for permit_id in reply.unknown
@@ -322,11 +332,7 @@
     if not permits:
         return
     node.counters.add("permits.reported_again", len(permits))
-    adoption = AdoptRequest(cell, permits)
-    if owner == node.own:
-        await _owner.adopt(node, adoption)
-        return
     try:
-        await node.peers.call(owner.peer_address, "adopt", adoption, timeout_s=FINISH_S)
+        await _call_owner(node, owner, "adopt", AdoptRequest(cell, permits))
     except PeerUnreached:
         return
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -11,6 +11,7 @@
 from lycheetide.relay._follow import follow_operator, follow_registry, make_peer_app
 from lycheetide.relay._gossip import Gossip, discover
 from lycheetide.relay._ingress import make_ingress, make_readiness
+from lycheetide.relay._reload import reload_settings, watch_settings
 from lycheetide.relay._state import RelayState, read_clock
 from lycheetide.tasks import GuardedTasks, keep_running
 
@@ -41,7 +42,9 @@
     return config
 
 
-async def run_relay(settings, adapter, *, wait_for_stop=None, on_start=None):
+async def run_relay(
+    settings, adapter, *, settings_path="", wait_for_stop=None, on_start=None
+):
     """Run a relay until it is told to stop.
 
     Parameters
@@ -50,6 +53,8 @@
         What it is told.
     adapter : module
         Speaks with the platform that it runs on.
+    settings_path : str
+        The file that is read again when it changes; empty for none.
     wait_for_stop : callable or None
         A coroutine function of the relay that returns when it is to stop; None waits
         for the signals of a process.
@@ -57,7 +62,7 @@
         Gets the relay's state.
     """
     node = f"{settings.name}.{time.time_ns() % 10**9:x}.{os.getpid():x}"
-    relay = RelayState(settings, adapter, node)
+    relay = RelayState(settings, adapter, node, settings_path=settings_path)
     host, _, port = settings.peer_address.rpartition(":")
     socket = await anyio.create_udp_socket(local_host=host, local_port=int(port))
     gossip = Gossip(relay, socket)
@@ -72,6 +77,7 @@
             gossip.listen,
             gossip.greet,
             gossip.expire,
+            watch_settings,
         ):
             group.start_soon(keep_running, relay, part)
         relay.tasks.start_soon(discover, relay)
@@ -115,7 +121,7 @@
         async for number in signals:
             if number != signal.SIGHUP:
                 return
-            relay.log.info("The settings file was read again; nothing changed.")
+            reload_settings(relay, relay.settings_path)
 
 
 async def _leave(relay):
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -55,10 +55,13 @@
         Speaks with the platform.
     node : str
         Its name and start, never used twice.
+    settings_path : str
+        The file that the settings were read from; empty for none.
     """
 
-    def __init__(self, settings, adapter, node):
+    def __init__(self, settings, adapter, node, *, settings_path=""):
         self.settings = settings
+        self.settings_path = settings_path
         self.adapter = adapter
         self.node = node
         self.log = get_log("relay")
@@ -87,6 +90,14 @@
         self._job_count = 0
         self._own_starts: dict[str, deque] = defaultdict(deque)
 
+    def take_settings(self, settings):
+        """Go on with other settings."""
+        self.settings = settings
+        for window in self._windows.values():
+            window.ratio = settings.retry_ratio
+            window.extra = settings.retry_extra
+            window.window_s = settings.retry_window_s
+
     def make_store(self):
         """Return a client of the store."""
         return self.adapter.StoreClient(self.settings.store_address)
