Explain a request from saved logs: one timeline, with the cause named

Cause: after a complaint an engineer has logs of many processes and an id.

Ruled out: a node's memory alone (a killed process remembers nothing).

Before: no way from saved logs.

--- a/lycheetide/cli/_main.py
+++ b/lycheetide/cli/_main.py
@@ -16,7 +16,7 @@
 from lycheetide._version import __version__
 from lycheetide.cli._config import ConfigCommand, NodeAddress, load_document
 from lycheetide.cli._output import EXIT_FAULTS, fetch, print_findings
-from lycheetide.metrics import set_up_logs
+from lycheetide.metrics import find_cause, read_lines, set_up_logs, sort_lines
 from lycheetide.settings import RelaySettings, read_settings
 
 
@@ -174,7 +174,8 @@
 @cappa.command(
     name="explain",
     help="Show why a recent request went where it went, step by step.",
-    description="Example: lycheetide explain 39c0a4ad7da04b74 --node 10.0.0.1:9002",
+    description="Examples: lycheetide explain 39c0a4ad7da04b74 --node 10.0.0.1:9002, "
+    "lycheetide explain 39c0a4ad7da04b74 --logs entry-1.log entry-2.log",
 )
 @dataclass
 class ExplainCommand:
@@ -185,14 +186,44 @@
     request_id : str
         From the answer's X-Request-Id header.
     node : str
-        The operator address of the node that answered it.
+        The operator address of the node that answered it; empty to read logs.
+    logs : list of str
+        Saved logs of any number of processes.
     """
 
     request_id: str
-    node: NodeAddress
+    node: Annotated[
+        str, cappa.Arg(long="--node", help="a node's operator address, ip:port")
+    ] = ""
+    logs: Annotated[
+        list[str], cappa.Arg(long="--logs", num_args=-1, help="saved logs")
+    ] = field(default_factory=list)
 
     def __call__(self):
         """Print the steps."""
+        if self.logs:
+            self._read_logs()
+        elif self.node:
+            self._ask_node()
+        else:
+            raise cappa.Exit("got neither --node nor --logs, expected one of them",
+                             code=EXIT_FAULTS)  # fmt: skip
+
+    def _read_logs(self):
+        """Print the request's lines in order, and the cause of its end."""
+        texts = (
+            text
+            for path in self.logs
+            for text in Path(path).read_text(errors="replace").splitlines()
+        )
+        lines = sort_lines(read_lines(texts, self.request_id))
+        for line in lines:
+            rest = ", ".join(f"{key}={value}" for key, value in line.fields.items())
+            print(f"{line.time}  {line.node}  {line.message}  {rest}")
+        print(f"cause: {find_cause(lines)}")
+
+    def _ask_node(self):
+        """Print the steps that a node remembers."""
         for step in fetch(self.node, f"/explain/{self.request_id}")["steps"]:
             after_ms = step.pop("after_ms")
             what = step.pop("what")
--- a/lycheetide/metrics/__init__.py
+++ b/lycheetide/metrics/__init__.py
@@ -3,13 +3,17 @@
 from lycheetide.metrics._counters import Counters, make_statsd
 from lycheetide.metrics._explain import Explanations, Step
 from lycheetide.metrics._logs import PARTS, get_log, set_up_logs
+from lycheetide.metrics._timeline import find_cause, read_lines, sort_lines
 
 __all__ = [
     "PARTS",
     "Counters",
     "Explanations",
     "Step",
+    "find_cause",
     "get_log",
     "make_statsd",
+    "read_lines",
     "set_up_logs",
+    "sort_lines",
 ]
