--- a/lycheetide/platform/_config.py
+++ b/lycheetide/platform/_config.py
@@ -77,6 +77,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] = []
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
@@ -153,7 +154,12 @@
     customers = None
     if config.tenants is not None:
         customers = tuple(
-            Customer(tenant.name, tuple(tenant.api_keys), tenant.priority)
+            Customer(
+                name=tenant.name,
+                credentials=tuple(tenant.api_keys),
+                priority=tenant.priority,
+                regions=tuple(tenant.allowed_regions),
+            )
             for tenant in config.tenants
         )
     limits = config.limits
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -1,5 +1,7 @@
 """Tell the other nodes what this one does, and hear from them."""
 
+import socket
+
 import anyio
 import msgspec
 
@@ -38,14 +40,14 @@
     ----------
     relay : RelayState
         This node.
-    socket : anyio.abc.UDPSocket
+    listener : anyio.abc.UDPSocket
         Bound to the peers' address.
     """
 
-    def __init__(self, relay, socket):
+    def __init__(self, relay, listener):
         self.relay = relay
-        self.socket = socket
-        self._raw = socket.extra(anyio.abc.SocketAttribute.raw_socket)
+        self.listener = listener
+        self._sender = make_sender(relay.settings.peer_address)
         self._heard = set()
         self._news = anyio.Event()
 
@@ -57,10 +59,12 @@
             self.send(data, peer.address)
 
     def send(self, data, address):
-        """Send one datagram without waiting."""
+        """Send one datagram without waiting; one that doesn't go out is counted."""
         host, _, port = address.rpartition(":")
-        transport = self.socket._transport
-        transport.sendto(data, (host, int(port)))
+        try:
+            self._sender.sendto(data, (host, int(port)))
+        except OSError:
+            self.relay.counters.add("peers.unsent_datagram")
 
     def tell_news(self):
         """Greet all peers soon, since this node knows something new."""
@@ -103,9 +107,13 @@
             peers=tuple(peers),
         )
 
+    def close(self):
+        """Close the sending socket."""
+        self._sender.close()
+
     async def listen(self, _):
         """Take datagrams in, for ever."""
-        async for data, _address in self.socket:
+        async for data, _address in self.listener:
             try:
                 message = decode_message(data)
             except msgspec.MsgspecError:
@@ -185,6 +193,20 @@
             await self.relay.pool.sweep(now_s=now_s)
 
 
+def make_sender(address):
+    """Return a socket that sends datagrams at once or not at all.
+
+    Parameters
+    ----------
+    address : str
+        "ip:port" of this node; the socket gets another port there.
+    """
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender.bind((address.rpartition(":")[0], 0))
+    sender.setblocking(False)
+    return sender
+
+
 async def discover(relay):
     """Write this node's address into the store, and read the others'."""
     store = relay.make_store()
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -58,7 +58,10 @@
         All that take work.
     """
     now_s = read_clock()
-    usable = relay.candidates(call.service, now_s=now_s, without=call.tried)
+    homes = (call.route.regions, call.customer.regions if call.customer else ())
+    usable = relay.candidates(
+        call.service, now_s=now_s, without=call.tried, homes=homes
+    )
     open_now = [one for one in usable if is_open(relay, call.service, one, now_s=now_s)]
     return open_now, usable
 
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -64,8 +64,8 @@
     node = f"{settings.name}.{time.time_ns() % 10**9:x}.{os.getpid():x}"
     relay = RelayState(settings, adapter, node, settings_path=settings_path)
     host, _, port = settings.peer_address.rpartition(":")
-    socket = await anyio.create_udp_socket(local_host=host, local_port=int(port))
-    gossip = Gossip(relay, socket)
+    listener = await anyio.create_udp_socket(local_host=host, local_port=int(port))
+    gossip = Gossip(relay, listener)
     relay.send_datagram = gossip.tell
     relay.tell_news = gossip.tell_news
     stopped = anyio.Event()
@@ -93,6 +93,8 @@
         stopped.set()
         group.cancel_scope.cancel()
     await relay.pool.aclose()
+    await listener.aclose()
+    gossip.close()
     relay.log.info("The node has stopped.", extra={"member": node})
 
 
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -158,7 +158,7 @@
         )
         return now_s - heard_s < self.settings.out_of_touch_s
 
-    def candidates(self, service, *, now_s, without=frozenset()):
+    def candidates(self, service, *, now_s, without=frozenset(), homes=()):
         """Return the replicas of a service that may take work, with their load.
 
         Parameters
@@ -169,12 +169,20 @@
             The present time.
         without : set of str
             Replicas that this request was already sent to.
+        homes : sequence of sequences of str
+            Regions; a replica has to stand in one of each, empty ones apart.
         """
         usable = list(
             self.replicas.usable(service.name, now_s=now_s, closed=self.closed)
         )
         ranks = self._rank(frozenset(replica.entry.id for replica in usable))
         usable = [replica for replica in usable if replica.entry.id not in without]
+        for regions in filter(None, homes):
+            usable = [
+                replica
+                for replica in usable
+                if self.find_region(replica.entry.failure_domain) in regions
+            ]
         trusted = [
             replica
             for replica in usable
@@ -185,6 +193,10 @@
             for replica in trusted or usable
         ]
 
+    def find_region(self, failure_domain):
+        """Return the region of a failure domain; empty where it isn't known."""
+        return dict(self.settings.domain_regions).get(failure_domain, "")
+
     def _rank(self, ids):
         """Return each replica's place in the order that all nodes agree on."""
         if self._ranks[0] != ids:
--- a/lycheetide/relay/_tickets.py
+++ b/lycheetide/relay/_tickets.py
@@ -17,7 +17,7 @@
     share_memory,
     spread_prompt,
 )
-from lycheetide.relay._place import list_candidates
+from lycheetide.relay._place import WAIT_TARGETS, list_candidates
 from lycheetide.relay._state import read_clock
 from lycheetide.routes import ANY_ENGINE
 
@@ -27,7 +27,6 @@
 """Three renewals may be lost before a reservation ends under a request."""
 ORDER_S = 0.6
 """How long an order may take."""
-TRIES = 4
 BETWEEN_TRIES_S = 0.15
 
 
@@ -80,14 +79,22 @@
 
 
 async def _reserve_all(relay, call, engine):
-    """Reserve all shares, or none and raise ``NoMemory``."""
-    without = set()
-    for _ in range(TRIES):
+    """Reserve all shares, or none and raise ``NoMemory``.
+
+    Memory that others hold becomes free within seconds, so a few more tries are worth
+    it while the first event may still come in time.
+    """
+    without: set[str] = set()
+    begun_s = read_clock()
+    patience_s = WAIT_TARGETS * call.route.target_latency_s
+    while read_clock() - begun_s <= patience_s:
         open_now, _ = list_candidates(relay, call)
         candidates = [one for one in open_now if one.id not in without]
         first, shares = share_memory(engine, call.size.tokens, candidates)
         if first is None:
-            raise NoMemory(f"{call.size.tokens} tokens at {len(candidates)} replicas")
+            without.clear()
+            await anyio.sleep(BETWEEN_TRIES_S)
+            continue
         job = relay.next_job()
         wanted = [
             (share.replica, f"{relay.node}/{job}/{place}", share.tokens)
@@ -111,7 +118,7 @@
             relay.tasks.start_soon(_release, relay, replica.address, ticket)
         relay.counters.add("tickets.refused")
         await anyio.sleep(BETWEEN_TRIES_S * (1 + relay.random.random()))
-    raise NoMemory(f"{call.size.tokens} tokens: reservations were refused")
+    raise NoMemory(f"{call.size.tokens} tokens were not to be had")
 
 
 async def _order(relay, outgoing, address):
--- a/lycheetide/relay/tests/test_knowledge.py
+++ b/lycheetide/relay/tests/test_knowledge.py
@@ -1,6 +1,7 @@
 """What nodes know of replicas and configurations while the store misbehaves."""
 
 import time
+from dataclasses import replace
 from types import SimpleNamespace
 
 import anyio
@@ -292,6 +293,24 @@
     assert 0 < most <= 20
 
 
+async def test_a_customer_with_a_home_is_served_there_only():
+    """A customer's prompts may not leave its region, even if only others are free."""
+    config = make_config()
+    config["tenants"][0]["allowedRegions"] = ["mu"]
+    async with Relayed(config=config) as fleet:
+        settings = fleet.relays[0].settings
+        regions = (("cork-a", "munster"), ("plouis-a", "mu"))
+        fleet.relays[0].settings = replace(settings, domain_regions=regions)
+        refused = await fleet.look()
+        entry = fleet.replicas[1].entry(zone="plouis-a", seq=2)
+        fleet.store.put("keyed.servers", "r-1", entry)
+        await anyio.sleep(0.3)
+        answers = [await fleet.look() for _ in range(3)]
+    assert refused.status_code == 503
+    assert [answer.status_code for answer in answers] == [200] * 3
+    assert fleet.replicas[0].seen == []
+
+
 async def test_memory_of_a_huge_prompt_is_held_while_it_runs_and_then_freed():
     """The prompt is larger than one replica's memory; several hold it together."""
     async with Relayed(replicas=4) as fleet:
--- a/lycheetide/routes/_types.py
+++ b/lycheetide/routes/_types.py
@@ -144,11 +144,24 @@
 
 @dataclass(frozen=True)
 class Customer:
-    """Who sends requests."""
+    """Who sends requests.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    credentials : tuple of str
+        What proves that a request is its own.
+    priority : int or None
+        Goes before its routes' priority.
+    regions : tuple of str
+        Where its requests may run; empty for anywhere.
+    """
 
     name: str
     credentials: tuple[str, ...]
     priority: int | None = None
+    regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/lycheetide/settings/_checks.py
+++ b/lycheetide/settings/_checks.py
@@ -51,6 +51,20 @@
     return tuple(address(part.strip()) for part in text.split(",") if part.strip())
 
 
+def pairs(text):
+    """Read "key:value" pairs with commas between them, or nothing.
+
+    Examples
+    --------
+    >>> pairs("cork-a:munster, cork-b:munster")
+    (('cork-a', 'munster'), ('cork-b', 'munster'))
+    """
+    rows = [part.strip().partition(":") for part in text.split(",") if part.strip()]
+    if not all(key and value for key, _, value in rows):
+        raise ValueError("pairs such as cork-a:munster, cork-b:munster")
+    return tuple((key, value) for key, _, value in rows)
+
+
 def path_or_empty(text):
     """Read a path as it stands."""
     return text
--- a/lycheetide/settings/_relay.py
+++ b/lycheetide/settings/_relay.py
@@ -9,6 +9,7 @@
     between,
     identifier,
     optional_address,
+    pairs,
 )
 from lycheetide.settings._schema import Field, level
 
@@ -32,6 +33,7 @@
     store_address: str
     metrics_address: str = ""
     seed_addresses: tuple[str, ...] = ()
+    domain_regions: tuple[tuple[str, str], ...] = ()
     statsd_address: str = ""
     statsd_prefix: str = "lycheetide"
     log_level: str = "INFO"
@@ -62,6 +64,7 @@
     Field("relay", "store_address", address, required=True),
     Field("relay", "metrics_address", optional_address),
     Field("relay", "seed_addresses", address_list),
+    Field("relay", "domain_regions", pairs),
     Field("relay", "idle_s", between(0.5, 3600.0)),
     Field("relay", "operator_wait_s", between(0.0, 30.0)),
     Field("relay", "registry_interval_s", between(0.05, 60.0)),
