Disturb no more short answers by a long prompt than its target needs

Change: busy replicas are added one by one, those with the fewest short answers first, until the first event is expected within 0.6 of the target.

Ruled out: preemption and memory (the pauses are equal at all replicas at one instant).

--- a/lycheetide/placement/_choose.py
+++ b/lycheetide/placement/_choose.py
@@ -33,9 +33,9 @@
 """Reading ahead of a short prompt up to which packing goes on."""
 DISTURBED_COST_S = 0.05
 """What a long prompt's own place has to save for each short request it disturbs."""
-SLACK = 0.4
+SLACK = 0.6
 """Part of the target within which a long prompt's first event is soon enough, so that
-no short request need be disturbed; the rest is for what isn't foreseen."""
+no more short requests need be disturbed; the rest is for what isn't foreseen."""
 FULL_COST_S = 1.0
 """What it costs to wait for a slot: about the rest of a short answer."""
 OTHER_DOMAIN_COST_S = 0.002
@@ -287,21 +287,35 @@
         (one for one in candidates if one.id not in taken and one.may_help),
         key=lambda one: (one.short_writers, one.wait_s(engine), -one.rank),
     )
-    apart = [one for one in others if one.short_writers == 0]
-    placement = _spread(engine, size, first, holders, apart)
-    if placement.expected_s > SLACK * target_s:
-        placement = _spread(engine, size, first, holders, others)
-    return placement
-
-
-def _spread(engine, size, first, holders, others):
-    """Return the placement with as many helpers as the prompt gains by."""
     whole_s = read_s(engine, size.prompt_tokens)
     most = min(HELPERS_MOST, round(whole_s / PART_READ_S)) - len(holders)
-    plans = (
+    others = others[: max(0, most)]
+    plans = [
         _plan(engine, size, first, holders, others[:count])
-        for count in range(max(0, min(most, len(others))) + 1)
-    )
+        for count in range(len(others) + 1)
+    ]
+    apart = sum(1 for one in others if one.short_writers == 0)
+    return _pick_plan(plans, apart, SLACK * target_s)
+
+
+def _pick_plan(plans, apart, soon_s):
+    """Return the best placement that disturbs as few short requests as it may.
+
+    Parameters
+    ----------
+    plans : list of (float, Placement)
+        By the number of helpers, those without short requests first.
+    apart : int
+        How many helpers have none.
+    soon_s : float
+        An expected first event by then is soon enough.
+    """
+    _, placement = min(plans[: apart + 1], key=lambda plan: plan[0])
+    if placement.expected_s <= soon_s:
+        return placement
+    for _, wider in plans[apart + 1 :]:
+        if wider.expected_s <= soon_s:
+            return wider
     _, placement = min(plans, key=lambda plan: plan[0])
     return placement
 
