--- a/lycheetide/placement/tests/test_choose.py
+++ b/lycheetide/placement/tests/test_choose.py
@@ -101,10 +101,10 @@
 
 
 def test_a_huge_prompt_is_read_everywhere_when_it_would_be_late_otherwise():
-    """Wanted within 0.5 s, it takes 4.8 s at one replica; only all together are quick."""
+    """Wanted within half a second, it takes 4.8 s at one replica."""
     busy = {f"w{rank}": {"writers": 6, "short_writers": 6} for rank in range(15)}
     size = Size(230_000, 100)
-    placement = choose(size, make_replicas(**busy), target_s=0.9)
+    placement = choose(size, make_replicas(**busy), target_s=0.5)
     assert len(placement.helpers) >= 12
 
 
