--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 bench: $(READY)
 	$(BIN)/python -m benchmarks.policy
 	$(BIN)/python -m benchmarks.control
+	$(BIN)/python -m benchmarks.relay
 	$(BIN)/python -m benchmarks.capacity --write
 
 SOURCES := $(shell find lycheetide tools -name '*.py' -o -name '*.toml')
