--- a/lycheetide/membership/_deputies.py
+++ b/lycheetide/membership/_deputies.py
@@ -7,6 +7,9 @@
 cell's order stands in. Two majorities share a member, so the two never act at once.
 """
 
+AWAKE_GAP_S = 1.0
+"""A member that asked nobody for so long was frozen or starved itself."""
+
 
 class Deputies:
     """Who is deposed in the present view, as one member knows.
@@ -33,6 +36,8 @@
         self.deposed: set[str] = set()
         self.out: frozenset[str] = frozenset()
         self._most_since_s = {}
+        self._asked_s = float("-inf")
+        self._awake_since_s = float("inf")
 
     def begin_view(self):
         """Forget all; a new view names its members anew."""
@@ -40,6 +45,16 @@
         self.out = frozenset()
         self._most_since_s = {}
 
+    def note_awake(self, *, now_s):
+        """Note that this member asks others what they know.
+
+        After a gap it was this member that slept: what it heard of the others is old
+        because it didn't listen, and says nothing of them.
+        """
+        if now_s - self._asked_s > AWAKE_GAP_S:
+            self._awake_since_s = now_s
+        self._asked_s = now_s
+
     def depose_silent(self, view, evidence, *, now_s, silent_s):
         """Depose the members that were silent for long.
 
@@ -58,7 +73,7 @@
             known = evidence.get(member.member_id)
             if member.member_id == self.own_id or known is None:
                 continue
-            if now_s - known.at_s > silent_s:
+            if now_s - max(known.at_s, self._awake_since_s) > silent_s:
                 self.deposed.add(member.member_id)
 
     def refresh(self, view, evidence, *, now_s):
--- a/lycheetide/membership/tests/test_deputies.py
+++ b/lycheetide/membership/tests/test_deputies.py
@@ -31,6 +31,7 @@
     def talk(self, now_s):
         """Let each living member ask all living ones, then look for silence."""
         for asker in self.living():
+            asker.deputies.note_awake(now_s=now_s)
             for told in self.living():
                 if told is asker:
                     continue
@@ -95,6 +96,27 @@
     assert owner not in {name for at_s, name in acting if at_s > 12.0}
 
 
+@pytest.mark.parametrize("frozen", [1, 2, 3])
+def test_members_that_were_frozen_depose_nobody_for_their_own_silence(frozen):
+    """Members are frozen for long; thawed, all they have heard of others is old.
+
+    If each took the others for dead, nobody could act as an owner until the log is
+    back, and every prompt would wait until its time is up.
+    """
+    fleet = Fleet(3)
+    fleet.run(0.0, 3.0)
+    names = [node.own.member_id for node in fleet.living()]
+    fleet.dead.update(names[:frozen])
+    fleet.run(3.0, 9.0)
+    fleet.dead.clear()
+    for node in fleet.nodes.values():
+        node.deputies.note_awake(now_s=9.0)
+        node.depose_silent(now_s=9.0, silent_s=SILENT_S)
+    acting = fleet.run(9.0, 16.0)
+    late = {name for at_s, name in acting if at_s > 14.0}
+    assert len(late) == 1
+
+
 def test_a_minority_never_stands_in():
     """A member that is cut off from all others takes them for dead.
 
@@ -107,6 +129,7 @@
     )
     for step in range(200):
         now_s = 3.0 + step / 10
+        alone.deputies.note_awake(now_s=now_s)
         alone.depose_silent(now_s=now_s, silent_s=SILENT_S)
         alone.settle(now_s=now_s)
         assert not alone.is_acting(now_s=now_s) or step < LEASE_S * 10
--- a/lycheetide/node/_members.py
+++ b/lycheetide/node/_members.py
@@ -14,8 +14,9 @@
 PROPOSE_INTERVAL_S = 0.3
 DEPOSE_LOG_S = 1.5
 """A log that gave no answer for so long may not take a new view in time."""
-DEPOSE_EXTRA_S = 0.5
-"""Silence beyond what makes a member suspect, so that a view comes first if it can."""
+DEPOSE_EXTRA_S = 1.5
+"""Silence beyond what makes a member suspect: a view comes first if it can, and a busy
+host isn't taken for a dead one. Being deposed lasts until the log is back."""
 
 log = get_log("member")
 
@@ -67,6 +68,7 @@
     draw = random_state or random.Random()
     async with anyio.create_task_group() as group:
         while True:
+            node.membership.deputies.note_awake(now_s=read_clock())
             addresses = list_addresses(node)
             fanout = min(node.settings.heartbeat_fanout, len(addresses))
             for address in draw.sample(addresses, fanout):
--- a/lycheetide/node/_owner.py
+++ b/lycheetide/node/_owner.py
@@ -227,7 +227,6 @@
         AcquireStatus.GRANTED,
         permit_id=permit.permit_id,
         replicas=permit.replicas,
-        boot_ids=permit.boot_ids,
     )
 
 
--- a/lycheetide/node/_permits.py
+++ b/lycheetide/node/_permits.py
@@ -253,7 +253,6 @@
         permit_id=reply.permit_id,
         ticket=ticket,
         replicas=reply.replicas,
-        boot_ids=reply.boot_ids,
         tokens=(-(-ticket.total_tokens // parts),) * parts,
         granted_s=now_s,
         renewed_s=now_s,
--- a/lycheetide/peers/_messages.py
+++ b/lycheetide/peers/_messages.py
@@ -85,7 +85,6 @@
     status: AcquireStatus
     permit_id: str = ""
     replicas: tuple[str, ...] = ()
-    boot_ids: tuple[str, ...] = ()
     reason: str = ""
     message: str = ""
     retry_after_ms: int = 0
--- a/lycheetide/scheduling/_cell.py
+++ b/lycheetide/scheduling/_cell.py
@@ -345,7 +345,6 @@
             permit_id=f"{self.owner_id}/{self.name}/{next(self._numbers)}",
             ticket=ticket,
             replicas=tuple(load.name for load in chosen),
-            boot_ids=tuple(self.replicas[load.name].boot_id for load in chosen),
             tokens=(share,) * parts,
             granted_s=now_s,
             renewed_s=now_s,
@@ -421,18 +420,16 @@
             if permit.ticket.request_id in held_request_ids:
                 continue
             kept = [
-                (replica, boot_id, tokens)
-                for replica, boot_id, tokens in zip(
-                    permit.replicas, permit.boot_ids, permit.tokens, strict=True
-                )
+                (replica, tokens)
+                for replica, tokens in zip(permit.replicas, permit.tokens, strict=True)
                 if replica != name
             ]
             if not kept:
                 del self.lost_permits[permit_id]
                 continue
-            replicas, boot_ids, tokens = zip(*kept, strict=True)
+            replicas, tokens = zip(*kept, strict=True)
             self.lost_permits[permit_id] = replace(
-                permit, replicas=replicas, boot_ids=boot_ids, tokens=tokens
+                permit, replicas=replicas, tokens=tokens
             )
 
     def find_unproved(self):
--- a/lycheetide/scheduling/_types.py
+++ b/lycheetide/scheduling/_types.py
@@ -105,8 +105,6 @@
         What it was given for.
     replicas : tuple of str
         Where it may go; several for a spanning prompt, the head last.
-    boot_ids : tuple of str
-        The lives of those replicas that the owner gave it for.
     tokens : tuple of int
         The memory taken at each replica.
     granted_s, renewed_s : float
@@ -116,7 +114,6 @@
     permit_id: str
     ticket: Ticket
     replicas: tuple[str, ...]
-    boot_ids: tuple[str, ...]
     tokens: tuple[int, ...]
     granted_s: float
     renewed_s: float
