Take out five names that nothing uses

Cause: from the last reading of the whole change: Peers.most_lately, answer_s, a struct of the configuration and an export had no caller. Behaviour is as it was.

--- a/lycheetide/board/_peers.py
+++ b/lycheetide/board/_peers.py
@@ -95,7 +95,3 @@
                 del self.peers[address]
                 self._greeted_s.pop(address, None)
         return list(self.peers)
-
-    def most_lately(self, window_s, *, now_s):
-        """Return how many peers were heard within a window."""
-        return sum(1 for peer in self.peers.values() if now_s - peer.heard_s < window_s)
--- a/lycheetide/placement/__init__.py
+++ b/lycheetide/placement/__init__.py
@@ -14,7 +14,6 @@
 )
 from lycheetide.placement._cold import cold_allowance, may_send
 from lycheetide.placement._estimate import (
-    answer_s,
     first_event_s,
     pass_s,
     read_s,
@@ -30,7 +29,6 @@
     "Placement",
     "RetryWindow",
     "Size",
-    "answer_s",
     "choose_plain",
     "choose_prompt",
     "cold_allowance",
--- a/lycheetide/placement/_estimate.py
+++ b/lycheetide/placement/_estimate.py
@@ -58,21 +58,3 @@
     waiting_s = pass_s(engine, writers, context_tokens) / 2
     writing_s = pass_s(engine, writers + 1, context_tokens)
     return waiting_s + backlog_s + own_read_s + writing_s
-
-
-def answer_s(engine, *, prompt_tokens, answer_tokens, writers, read_share=1.0):
-    """Return the expected time of a whole answer.
-
-    Parameters
-    ----------
-    engine : Engine
-        Its figures.
-    prompt_tokens, answer_tokens : int
-        Size of the request.
-    writers : int
-        Others that write beside it.
-    read_share : float
-        The part of the prompt that is read there.
-    """
-    writing_s = pass_s(engine, writers + 1, prompt_tokens) / engine.steps_per_pass
-    return read_s(engine, prompt_tokens) * read_share + answer_tokens * writing_s
--- a/lycheetide/platform/__init__.py
+++ b/lycheetide/platform/__init__.py
@@ -9,7 +9,6 @@
 from lycheetide.platform._registry import decode_registry_records
 from lycheetide.platform._requests import (
     READY_PATH,
-    RESUME_HEADER,
     decode_answer,
     decode_request,
     encode_attempt,
@@ -23,7 +22,6 @@
     "OPERATOR",
     "READY_PATH",
     "REGISTRY",
-    "RESUME_HEADER",
     "StoreClient",
     "decode_answer",
     "decode_operator_records",
--- a/lycheetide/platform/_config.py
+++ b/lycheetide/platform/_config.py
@@ -26,10 +26,6 @@
 }
 
 
-class _Model(msgspec.Struct, frozen=True):
-    name: str = ""
-
-
 class _Engine(msgspec.Struct, frozen=True, rename="camel"):
     """A service's engine; three names of its figures are already in snake case."""
 
