--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -38,18 +38,18 @@
 
 def measure_datagrams():
     """Return the cost and size of telling of one short request."""
-    board = Board(short_read_s=0.06)
+    board = Board()
     part = Part("i-3c568cd48e", 0.03, 6_000)
 
     def tell(number):
         job = f"{number:x}"
-        started = Started("front-a-1.1ecc477f.f88", job, (part,), 10.0)
+        started = Started("front-a-1.1ecc477f.f88", job, (part,), 10_000)
         message = decode_message(encode_message(started))
         board.start(Job(message.job, message.node, message.parts, 0.0, 10.0), now_s=0.0)
         ended = decode_message(encode_message(Ended(started.node, job)))
         board.end(ended.node, ended.job, now_s=0.1)
 
-    started = Started("front-a-1.1ecc477f.f88", "ff", (part,), 10.0)
+    started = Started("front-a-1.1ecc477f.f88", "ff", (part,), 10_000)
     hello = Hello("10.0.0.1:1", "front-a-1.1ecc477f.f88", "10.0.0.2:7", "a", 1, 2, 0.1,
                   heard=("i-3c568cd48e",) * 24)  # fmt: skip
     return {
--- a/lycheetide/board/__init__.py
+++ b/lycheetide/board/__init__.py
@@ -4,19 +4,22 @@
 datagrams. Placing rests on that; safety doesn't: a lost datagram costs a little time.
 """
 
-from lycheetide.board._board import START_WINDOW_S, Board, Job, Part
+from lycheetide.board._board import START_WINDOW_S, Board, Job, make_job
+from lycheetide.board._column import Unread
 from lycheetide.board._messages import (
     Bundle,
     Changed,
     Ended,
     Hello,
     Message,
+    Part,
     Started,
     Suspected,
     decode_message,
     encode_message,
 )
 from lycheetide.board._peers import Peer, Peers, order_node
+from lycheetide.board._trust import Trust
 
 __all__ = [
     "START_WINDOW_S",
@@ -32,7 +35,10 @@
     "Peers",
     "Started",
     "Suspected",
+    "Trust",
+    "Unread",
     "decode_message",
     "encode_message",
+    "make_job",
     "order_node",
 ]
--- a/lycheetide/board/_board.py
+++ b/lycheetide/board/_board.py
@@ -1,15 +1,13 @@
 """Requests in flight, by replica."""
 
 from collections import defaultdict, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from lycheetide.board._messages import Part
+from lycheetide.board._column import Column
+from lycheetide.board._messages import Part, Started
 
 START_WINDOW_S = 1.0
 """Starts are counted over this time; cold limits are given per second."""
-SUSPECT_S = 3.0
-"""How long a replica that was silent is left alone; doubles up to the next constant."""
-LONGEST_SUSPECT_S = 12.0
 SETTLE_S = 0.5
 """Age from which a request must stand in its node's list of what it has in flight; a
 message on its way takes less, also where it is gathered with others."""
@@ -17,67 +15,62 @@
 """How long an end is remembered: a message on its way by two hubs takes less."""
 FORGET_S = 60.0
 """How long a replica is remembered that is gone: longer than any limit looks back."""
-RECOVERING_S = 15.0
-"""How long a silent replica stays the second choice unless it answers."""
 
 
 @dataclass(frozen=True)
 class Job:
-    """A request in flight."""
+    """A request in flight.
+
+    Parameters
+    ----------
+    id, node : str
+        Its name, and the node that sends it.
+    parts : tuple of Part
+        What it costs where.
+    started_s, ends_by_s : float
+        When it was sent, and when it has surely ended.
+    due_s : float
+        When its first event is wanted.
+    gap_s : float
+        The longest pause between two events that its caller doesn't notice; 0 where
+        there is none.
+    weight : float
+        How many short requests it counts as.
+    """
 
     id: str
     node: str
     parts: tuple[Part, ...]
     started_s: float
     ends_by_s: float
+    due_s: float = float("inf")
+    gap_s: float = 0.0
+    weight: float = 1.0
 
 
-@dataclass
-class Column:
-    """What is known of one replica's work.
-
-    Parameters
-    ----------
-    busy_until_s : float
-        When all reading that was sent there is done, at full speed.
-    writers : int
-        Requests that write their answers there, or will.
-    short_writers : int
-        Those of them with short prompts.
-    helping : int
-        Parts of others' prompts that are read there.
-    kv_tokens : int
-        Memory taken.
-    starts : deque of float
-        When the last requests were sent there; parts of others' prompts are none.
-    """
-
-    busy_until_s: float = 0.0
-    writers: int = 0
-    short_writers: int = 0
-    helping: int = 0
-    kv_tokens: int = 0
-    starts: deque = field(default_factory=deque)
+def make_job(started: Started, *, now_s):
+    """Return the request that a node has just told of."""
+    return Job(
+        started.job,
+        started.node,
+        started.parts,
+        started_s=now_s,
+        ends_by_s=now_s + started.lasts_ms / 1e3,
+        due_s=now_s + started.due_in_ms / 1e3,
+        gap_s=started.gap_ms / 1e3,
+        weight=started.weight_hundredths / 100,
+    )
 
 
 class Board:
-    """All requests in flight that this node knows of.
+    """All requests in flight that this node knows of."""
 
-    Parameters
-    ----------
-    short_read_s : float
-        Prompts that are read within this time count as short.
-    """
-
-    def __init__(self, *, short_read_s):
-        self.short_read_s = short_read_s
+    def __init__(self):
         self.jobs: dict[tuple[str, str], Job] = {}
         self.columns: dict[str, Column] = defaultdict(Column)
         self._starts: deque[float] = deque()
-        self.heard_s: dict[str, float] = {}
         self._ended_s: dict[tuple[str, str], float] = {}
         self._by_node: dict[str, set[str]] = defaultdict(set)
-        self._suspects: dict[str, tuple[float, int]] = {}
 
     def start(self, job: Job, *, now_s):
         """Add a request, unless it is known to have ended.
@@ -92,12 +85,7 @@
         self._by_node[job.node].add(job.id)
         self._starts.append(now_s)
         for part in job.parts:
-            column = self.columns[part.replica]
-            column.busy_until_s = max(column.busy_until_s, now_s) + part.read_s
-            column.kv_tokens += part.kv_tokens
-            if part.writes:
-                column.starts.append(now_s)
-            self._count(column, part, 1)
+            self.columns[part.replica].add(job, part, now_s=now_s)
 
     def end(self, node, job_id, *, now_s):
         """Take a request away."""
@@ -109,20 +97,13 @@
         if not self._by_node[node]:
             del self._by_node[node]
         for part in job.parts:
-            column = self.columns[part.replica]
-            column.kv_tokens -= part.kv_tokens
-            self._count(column, part, -1)
-            if column.writers == 0 and column.helping == 0:
-                column.busy_until_s = now_s
-
-    def _count(self, column, part, step):
-        """Count a part in or out."""
-        if not part.writes:
-            column.helping += step
-            return
-        column.writers += step
-        if part.read_s <= self.short_read_s:
-            column.short_writers += step
+            self.columns[part.replica].remove(job, part, now_s=now_s)
+
+    def note_read(self, node, job_id, *, now_s):
+        """Note that a request's first event has come, so all of it has been read."""
+        job = self.jobs.get((node, job_id))
+        for part in job.parts if job is not None else ():
+            self.columns[part.replica].stop_reading(job, part, now_s=now_s)
 
     def expire(self, *, now_s, living=None):
         """Take away what has surely ended.
@@ -186,6 +167,11 @@
         column = self.columns.get(replica)
         return max(0.0, column.busy_until_s - now_s) if column else 0.0
 
+    def unread(self, replica, *, now_s):
+        """Return what a replica hasn't read yet."""
+        column = self.columns.get(replica)
+        return column.list_unread(now_s=now_s) if column else []
+
     def column(self, replica) -> Column:
         """Return what is known of a replica's work."""
         return self.columns.get(replica) or Column()
@@ -205,31 +191,8 @@
             self._starts.popleft()
         return len(self._starts) / START_WINDOW_S
 
-    def suspect(self, replica, *, now_s):
-        """Note that a replica was waited for in vain."""
-        _, times = self._suspects.get(replica, (now_s, 0))
-        self._suspects[replica] = (now_s, min(times + 1, 4))
-
-    def hear(self, replica, *, now_s):
-        """Note an answer of a replica."""
-        self.heard_s[replica] = now_s
-        self._suspects.pop(replica, None)
-
-    def is_suspect(self, replica, *, now_s):
-        """Tell whether a replica should be left alone for now."""
-        found = self._suspects.get(replica)
-        if found is None:
-            return False
-        since_s, times = found
-        return now_s - since_s < min(SUSPECT_S * 2 ** (times - 1), LONGEST_SUSPECT_S)
-
-    def is_recovering(self, replica, *, now_s):
-        """Tell whether a replica was silent lately and hasn't answered since."""
-        found = self._suspects.get(replica)
-        return found is not None and now_s - found[0] < RECOVERING_S
-
     def forget(self, present, *, now_s):
-        """Drop what is known of replicas that are gone and of which nothing is heard.
+        """Drop what is known of replicas that are gone and have nothing in flight.
 
         Parameters
         ----------
@@ -238,18 +201,8 @@
         now_s : float
             The present time.
         """
-        known = {*self.columns, *self.heard_s, *self._suspects}
         busy = {part.replica for job in self.jobs.values() for part in job.parts}
-        for replica in known - busy - set(present):
-            if now_s - self._last_s(replica) > FORGET_S:
-                self.columns.pop(replica, None)
-                self.heard_s.pop(replica, None)
-                self._suspects.pop(replica, None)
-
-    def _last_s(self, replica):
-        """Return when something was last known of a replica."""
-        column = self.columns.get(replica)
-        suspected_s, _ = self._suspects.get(replica, (float("-inf"), 0))
-        started_s = column.starts[-1] if column and column.starts else float("-inf")
-        heard_s = self.heard_s.get(replica, float("-inf"))
-        return max(suspected_s, started_s, heard_s)
+        for replica in set(self.columns) - busy - set(present):
+            starts = self.columns[replica].starts
+            if not starts or now_s - starts[-1] > FORGET_S:
+                del self.columns[replica]
--- a/lycheetide/board/_messages.py
+++ b/lycheetide/board/_messages.py
@@ -30,20 +30,33 @@
 class Started(msgspec.Struct, frozen=True, array_like=True, tag="s"):
     """A node has sent a request.
 
+    Times are whole milliseconds, since a number with a fraction takes three times the
+    bytes, and all nodes are told of every request.
+
     Parameters
     ----------
     node, job : str
         Who, and its name for this attempt.
     parts : tuple of Part
         What it costs where.
-    lasts_s : float
+    lasts_ms : int
         When it has surely ended, from now.
+    due_in_ms : int
+        When its first event is wanted, from now; below 0 where it is late.
+    gap_ms : int
+        The longest pause between two events that its caller doesn't notice; 0 where
+        there is none.
+    weight_hundredths : int
+        How many short requests it counts as, times a hundred.
     """
 
     node: str
     job: str
     parts: tuple[Part, ...]
-    lasts_s: float
+    lasts_ms: int
+    due_in_ms: int = 60_000
+    gap_ms: int = 0
+    weight_hundredths: int = 100
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True, tag="e"):
--- /dev/null
+++ b/lycheetide/board/_trust.py
@@ -0,0 +1,108 @@
+"""What is believed of each replica, and on what evidence.
+
+A node's own answers from a replica weigh most. The word of peers says that it lives,
+but not that it lives now. A refused connection and a silence speak against it at once,
+and answers that broke off do where several of one failure domain come together.
+"""
+
+NEVER_S = float("-inf")
+SUSPECT_S = 3.0
+"""How long a replica that was silent is left alone; doubles up to the next constant."""
+LONGEST_SUSPECT_S = 12.0
+RECOVERING_S = 15.0
+"""How long a silent replica stays the second choice unless it answers."""
+TOLD_AGE_S = 1.3
+"""How old a peer's word may be that a replica answered: peers name those that they
+heard within a second, and greet each 0.3 s."""
+FORGET_S = 60.0
+"""How long a replica is remembered that is gone: longer than any limit looks back."""
+MOST_DOUBLINGS = 4
+
+
+class Trust:
+    """The evidence for and against each replica, as far as this node has it."""
+
+    def __init__(self):
+        self._answered_s: dict[str, float] = {}
+        self._told_s: dict[str, float] = {}
+        self._troubled_s: dict[str, float] = {}
+        self._suspects: dict[str, tuple[float, int]] = {}
+
+    def hear(self, replica, *, now_s):
+        """Note an answer of a replica to this node."""
+        self._answered_s[replica] = now_s
+        self._suspects.pop(replica, None)
+
+    def hear_of(self, replica, *, now_s):
+        """Note that a peer had an answer of a replica lately.
+
+        A replica that has just refused a connection was heard by some peer a moment
+        before. If that word ended the suspicion, every request would try the replica
+        again until the peers fall silent on it.
+        """
+        self._told_s[replica] = now_s
+        found = self._suspects.get(replica)
+        if found is not None and now_s - found[0] > TOLD_AGE_S:
+            del self._suspects[replica]
+
+    def doubt(self, replica, *, now_s):
+        """Note that a replica broke an answer off, which alone proves little."""
+        self._troubled_s[replica] = now_s
+
+    def suspect(self, replica, *, now_s):
+        """Note that a replica was waited for in vain, or refused a connection."""
+        self._troubled_s[replica] = now_s
+        _, times = self._suspects.get(replica, (now_s, 0))
+        self._suspects[replica] = (now_s, min(times + 1, MOST_DOUBLINGS))
+
+    def answered_s(self, replica):
+        """Return when a replica last answered this node."""
+        return self._answered_s.get(replica, NEVER_S)
+
+    def heard_s(self, replica):
+        """Return when a replica was last known to live, also by a peer's word."""
+        return max(self.answered_s(replica), self._told_s.get(replica, NEVER_S))
+
+    def troubled_s(self, replica):
+        """Return when a replica last failed this node, or a peer that told of it."""
+        return self._troubled_s.get(replica, NEVER_S)
+
+    def list_answered(self, *, since_s):
+        """Return the replicas that answered this node itself lately.
+
+        Only these may be told to peers. Nodes that passed on one another's word would
+        keep a dead replica alive for ever.
+        """
+        return [name for name, at_s in self._answered_s.items() if at_s > since_s]
+
+    def is_suspect(self, replica, *, now_s):
+        """Tell whether a replica should be left alone for now."""
+        found = self._suspects.get(replica)
+        if found is None:
+            return False
+        since_s, times = found
+        return now_s - since_s < min(SUSPECT_S * 2 ** (times - 1), LONGEST_SUSPECT_S)
+
+    def is_recovering(self, replica, *, now_s):
+        """Tell whether a replica was silent lately and hasn't answered since."""
+        found = self._suspects.get(replica)
+        return found is not None and now_s - found[0] < RECOVERING_S
+
+    def forget(self, present, *, now_s):
+        """Drop what is known of replicas that are gone and of which nothing is heard.
+
+        Parameters
+        ----------
+        present : collection of str
+            Replicas that aren't gone.
+        now_s : float
+            The present time.
+        """
+        known = {*self._answered_s, *self._told_s, *self._troubled_s}
+        for replica in known - set(present):
+            last_s = max(self.heard_s(replica), self.troubled_s(replica))
+            if now_s - last_s > FORGET_S:
+                self._answered_s.pop(replica, None)
+                self._told_s.pop(replica, None)
+                self._troubled_s.pop(replica, None)
+                self._suspects.pop(replica, None)
--- a/lycheetide/board/tests/test_board.py
+++ b/lycheetide/board/tests/test_board.py
@@ -1,5 +1,7 @@
 """What a node believes of the others' work when messages are lost or nodes die."""
 
+import dataclasses
+
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -14,13 +16,14 @@
     Peers,
     Started,
     Suspected,
+    Trust,
     decode_message,
     encode_message,
 )
 
 
 def make_board(*jobs):
-    board = Board(short_read_s=0.06)
+    board = Board()
     for job in jobs:
         board.start(job, now_s=job.started_s)
     return board
@@ -75,16 +78,96 @@
     assert board.column("r").writers == 0
 
 
+def test_what_was_not_read_of_a_request_that_ended_is_no_backlog():
+    """A failure domain goes dark, and prompts are tried at one replica after the other.
+
+    Each try had told of parts at the replicas that live. Left in their sums, these made
+    an idle fleet look busy for seconds, and short prompts were refused for want of
+    room.
+    """
+    board = make_board(make_job("short", read_s=0.02))
+    for number in range(5):
+        board.start(make_job(f"tried{number}", read_s=0.8, writes=False), now_s=0.0)
+        board.end("n", f"tried{number}", now_s=0.0)
+    assert board.backlog_s("r", now_s=0.0) == pytest.approx(0.02)
+    assert board.column("r").writers == 1
+
+
+def test_what_was_read_of_a_request_that_ended_stays_read():
+    board = make_board(make_job("a", read_s=0.3), make_job("b", read_s=0.2))
+    board.end("n", "a", now_s=0.1)
+    assert board.backlog_s("r", now_s=0.1) == pytest.approx(0.2)
+    board.note_read("n", "b", now_s=0.2)
+    assert board.backlog_s("r", now_s=0.2) == 0.0
+
+
+def test_a_part_of_anothers_prompt_is_read_before_what_waits():
+    """A replica reads the newest part first.
+
+    A prompt that waits there is read later by it, and has less time left to be late.
+    """
+    board = make_board(make_job("own", read_s=0.5))
+    part = make_job("part", read_s=0.3, writes=False)
+    board.start(part, now_s=0.1)
+    own, part = board.unread("r", now_s=0.1)
+    assert own.by_s == pytest.approx(0.8)
+    assert part.by_s == pytest.approx(0.4)
+    assert [one.by_s for one in board.unread("r", now_s=0.5)] == pytest.approx([0.8])
+
+
+def test_writers_are_counted_by_the_pauses_that_they_bear():
+    job = make_job("a")
+    board = make_board(
+        dataclasses.replace(job, gap_s=0.2, weight=1.5),
+        dataclasses.replace(job, id="b", gap_s=0.8, weight=15.0),
+        dataclasses.replace(job, id="c", gap_s=0.2, weight=1.5),
+    )
+    assert board.column("r").weights == {0.2: 3.0, 0.8: 15.0}
+    board.end("n", "a", now_s=1.0)
+    assert board.column("r").weights == {0.2: 1.5, 0.8: 15.0}
+
+
 def test_a_suspect_is_left_alone_for_longer_each_time_and_forgiven_when_heard():
-    board = make_board()
-    board.suspect("r", now_s=0.0)
-    assert board.is_suspect("r", now_s=2.0)
-    assert not board.is_suspect("r", now_s=3.5)
-    board.suspect("r", now_s=4.0)
-    assert board.is_suspect("r", now_s=9.0)
-    assert board.is_recovering("r", now_s=12.0)
-    board.hear("r", now_s=13.0)
-    assert not board.is_recovering("r", now_s=13.0)
+    trust = Trust()
+    trust.suspect("r", now_s=0.0)
+    assert trust.is_suspect("r", now_s=2.0)
+    assert not trust.is_suspect("r", now_s=3.5)
+    trust.suspect("r", now_s=4.0)
+    assert trust.is_suspect("r", now_s=9.0)
+    assert trust.is_recovering("r", now_s=12.0)
+    trust.hear("r", now_s=13.0)
+    assert not trust.is_recovering("r", now_s=13.0)
+
+
+def test_a_peers_older_word_does_not_end_a_suspicion():
+    """A replica refuses connections, and a peer heard it within the last second.
+
+    Each greeting of that peer ended the suspicion, so the dead replica was tried by
+    every request: 29 times in two seconds, and prompts ran out of attempts.
+    """
+    trust = Trust()
+    trust.hear_of("r", now_s=0.9)
+    trust.suspect("r", now_s=1.0)
+    trust.hear_of("r", now_s=1.1)
+    assert trust.is_suspect("r", now_s=1.2)
+    trust.hear_of("r", now_s=2.5)
+    assert not trust.is_suspect("r", now_s=2.5)
+
+
+def test_nodes_tell_only_what_they_heard_themselves():
+    """A replica is dead, and each node tells the others that it was heard lately.
+
+    Told on by those who had only been told, that word never grew old: streams at the
+    dead replica were waited for as if it were only busy.
+    """
+    nodes = [Trust(), Trust()]
+    nodes[0].hear("r", now_s=0.0)
+    for step in range(1, 20):
+        for teller, listener in (nodes, nodes[::-1]):
+            now_s = 0.3 * step
+            for replica in teller.list_answered(since_s=now_s - 1.0):
+                listener.hear_of(replica, now_s=now_s)
+    assert max(node.heard_s("r") for node in nodes) < 1.0
 
 
 def test_only_starts_of_the_last_second_count():
@@ -100,13 +183,26 @@
     for name in ("gone", "here", "late"):
         board.start(Job(name, "n", (Part(name, 0.1),), 0.0, 5.0), now_s=0.0)
         board.end("n", name, now_s=1.0)
-        board.suspect(name, now_s=1.0)
-    board.hear("late", now_s=90.0)
+    board.start(Job("j2", "n", (Part("late", 0.1),), 90.0, 91.0), now_s=90.0)
+    board.end("n", "j2", now_s=91.0)
     board.forget({"here"}, now_s=30.0)
     assert "gone" in board.columns
     board.forget({"here"}, now_s=100.0)
     assert set(board.columns) == {"here", "late", "busy"}
-    assert not board.is_recovering("gone", now_s=2.0)
+
+
+def test_evidence_of_replicas_that_are_gone_is_forgotten_after_a_while():
+    trust = Trust()
+    for name in ("gone", "here", "late"):
+        trust.suspect(name, now_s=1.0)
+    trust.hear_of("late", now_s=1.1)
+    trust.hear("late", now_s=90.0)
+    trust.forget({"here"}, now_s=30.0)
+    assert trust.is_recovering("gone", now_s=2.0)
+    trust.forget({"here"}, now_s=100.0)
+    assert not trust.is_recovering("gone", now_s=2.0)
+    assert trust.is_recovering("here", now_s=2.0)
+    assert trust.heard_s("late") == 90.0
 
 
 def test_helping_to_read_a_prompt_is_no_request():
@@ -142,7 +238,7 @@
 @pytest.mark.parametrize(
     "message",
     [
-        Started("n", "j", (Part("r", 0.1, 5, False),), 2.0),
+        Started("n", "j", (Part("r", 0.1, 5, False),), 2_000),
         Ended("n", "j"),
         Suspected("n", "r"),
         make_hello(heard=("a", "b"), peers=("10.0.0.3:7",)),
@@ -156,7 +252,7 @@
     """A datagram that is split is lost more often, and half of it is nothing."""
     parts = tuple(Part(f"i-{number:010x}", 0.123456, 100_000) for number in range(17))
     node = "front-plouis-a-12.201a8352.f82"
-    assert len(encode_message(Started(node, "ffff", parts, 15.0))) < 1_400
+    assert len(encode_message(Started(node, "ffff", parts, 15_000))) < 1_400
     heard = tuple(f"i-{number:010x}" for number in range(24))
     peers = tuple(f"10.64.12.{number}:17480" for number in range(40))
     hello = make_hello(node, heard=heard, peers=peers)
--- a/lycheetide/model/_passes.py
+++ b/lycheetide/model/_passes.py
@@ -23,7 +23,8 @@
     left_s : float
         Reading that isn't done.
     is_help : bool
-        Whether it is a part of another engine's prompt; those are read first.
+        Whether it is a part of another engine's prompt; those are read first, the
+        newest before the others.
     urgency : int
         The smaller, the sooner it is admitted.
     when_done : callable
@@ -93,7 +94,7 @@
         steps = self.engine.steps_per_pass if self._writing else 1
         room_s = steps * CHUNK_TOKENS * self.engine.read_s_per_token
         read_s = 0.0
-        for read in self.helping + self.reading:
+        for read in self.helping[::-1] + self.reading:
             part_s = min(read.left_s, room_s - read_s)
             read.left_s -= part_s
             read_s += part_s
--- a/lycheetide/model/_relays.py
+++ b/lycheetide/model/_relays.py
@@ -16,9 +16,12 @@
 from lycheetide.model._passes import PassEngine, Read, Writer
 from lycheetide.placement import (
     SHORT_READ_S,
+    Arrivals,
     Candidate,
+    GapGroup,
     Placement,
     Size,
+    UnreadPrompt,
     caller_patience_s,
     choose_prompt,
     count_among,
@@ -42,6 +45,10 @@
 """Prompts over so many tokens are read together with so many others by the plain relay
 with helpers, our baseline."""
 LASTS_S = 60.0
+WAIT_S = 0.04
+"""Pause before a request that found no place is placed anew."""
+WAIT_TARGETS = 0.5
+"""Part of its target for which it waits so, before it is refused."""
 LATE_WORTH = 0.25
 """Part of a request's worth that a whole answer earns which is late."""
 
@@ -66,6 +73,8 @@
         When the first event is wanted, and the longest pause between two.
     worth : float
         Of one that is answered within both.
+    at_s : tuple of float
+        When they arrive; empty for at random.
     """
 
     name: str
@@ -77,6 +86,7 @@
     target_s: float
     gap_s: float
     worth: float
+    at_s: tuple[float, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -154,6 +164,8 @@
         How long its caller waits for that.
     starts_per_s : float
         Requests that nodes placed lately.
+    shortest_target_s : float
+        The shortest time in which a kind of prompt wants its first event.
     told_s : float
         How late nodes know of one another's work.
     luck : random.Random
@@ -166,6 +178,7 @@
     target_s: float
     patience_s: float
     starts_per_s: float
+    shortest_target_s: float
     told_s: float
     luck: random.Random
 
@@ -180,10 +193,12 @@
         asked.size,
         asked.candidates,
         target_s=asked.target_s,
+        patience_s=asked.patience_s,
+        arrivals=Arrivals(asked.starts_per_s, asked.shortest_target_s),
         among=count_among(asked.starts_per_s, asked.told_s),
         draw=asked.luck.random(),
     )
-    if placement is not None and placement.waits_too_long(asked.patience_s):
+    if placement is None or not placement.is_worthwhile(asked.size, asked.patience_s):
         return None
     return placement
 
@@ -221,8 +236,7 @@
     luck = random.Random(random_state)
     rows = []
     for kind in model.kinds:
-        at_s = 0.0
-        while (at_s := at_s + luck.expovariate(kind.per_s * model.load)) < seconds:
+        for at_s in kind.at_s or _draw_times(kind.per_s * model.load, seconds, luck):
             middle = math.log(kind.tokens) - kind.spread**2 / 2
             tokens = min(kind.most_tokens, luck.lognormvariate(middle, kind.spread))
             events = max(
@@ -232,6 +246,13 @@
     yield from sorted(rows, key=lambda row: row[0].arrived_s)
 
 
+def _draw_times(per_s, seconds, luck):
+    """Yield the times of arrivals that come at random."""
+    at_s = 0.0
+    while (at_s := at_s + luck.expovariate(per_s)) < seconds:
+        yield at_s
+
+
 class _Fleet:
     """The state of one run."""
 
@@ -239,7 +260,7 @@
         self.model = model
         self.policy = policy
         self.luck = random.Random(f"{random_state}/policy")
-        self.board = Board(short_read_s=SHORT_READ_S)
+        self.board = Board()
         names = [f"r{number}" for number in range(model.replicas)]
         self.ranks = rank_replicas(names)
         self.engines = {
@@ -272,20 +293,29 @@
                 target_s=request.kind.target_s,
                 patience_s=request.patience_s,
                 starts_per_s=self.board.starts_per_s(now_s=now_s),
+                shortest_target_s=min(kind.target_s for kind in self.model.kinds),
                 told_s=self.model.told_s,
                 luck=self.luck,
             )
         )
         if placement is None:
             return
-        readers = (placement.first, *placement.helpers)
+        held = {share.replica.id: share.tokens for share in placement.holders}
+        readers = (
+            placement.first,
+            *(share.replica for share in placement.holders),
+            *placement.helpers,
+        )
         part_s = read_s(engine, size.prompt_tokens) / len(readers)
+        held[placement.first.id] = size.tokens - sum(held.values())
         parts = tuple(
-            Part(one.id, part_s, size.tokens if one is placement.first else 0,
-                 one is placement.first)
+            Part(one.id, part_s, held.get(one.id, 0), one is placement.first)
             for one in readers
+        )
+        job = Job(
+            f"{id(request):x}", "n", parts, now_s, now_s + LASTS_S,
+            now_s + request.kind.target_s, request.kind.gap_s, size.weight,
         )  # fmt: skip
-        job = Job(f"{id(request):x}", "n", parts, now_s, now_s + LASTS_S)
         told_s = now_s + self.model.told_s
         self.at(told_s, lambda at_s: self.board.start(job, now_s=at_s))
         unread = [len(readers)]
@@ -357,9 +387,13 @@
                 rank=rank,
                 slots=self.model.engine.slots,
                 writers=column.writers,
-                short_writers=column.short_writers,
+                writing=tuple(GapGroup(*row) for row in column.weights.items()),
                 helping=column.helping,
                 backlog_s=self.board.backlog_s(name, now_s=now_s),
+                unread=tuple(
+                    UnreadPrompt(one.due_s - one.by_s, one.weight)
+                    for one in self.board.unread(name, now_s=now_s)
+                ),
                 kv_tokens=column.kv_tokens,
             )
             for name, rank in self.ranks.items()
--- a/lycheetide/model/tests/test_relays.py
+++ b/lycheetide/model/tests/test_relays.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+from functools import partial
 
 import pytest
 
@@ -74,6 +75,22 @@
     assert engine.ends_s == pytest.approx(1.02e-3 + 2_048 / 206_000)
 
 
+def note_read(done, name, _):
+    done.append(name)
+
+
+def test_the_newest_part_of_anothers_prompt_is_read_first():
+    """An engine reads its own prompt of 0.1 s, and two parts arrive meanwhile."""
+    done: list[str] = []
+    engine = PassEngine(ENGINE, 6)
+    for name, is_help in (("own", False), ("older", True), ("newest", True)):
+        engine.add(Read(0.1, is_help, 0, partial(note_read, done, name)))
+    while len(done) < 3:
+        engine.begin_pass(0.0)
+        engine.end_pass()
+    assert done == ["newest", "older", "own"]
+
+
 def test_more_prompts_than_slots_wait():
     engine = PassEngine(ENGINE, 6)
     for _ in range(8):
@@ -126,3 +143,38 @@
 def test_half_of_the_load_is_served_nearly_whole():
     light = dataclasses.replace(FLEET, load=0.5)
     assert mean_worth(RELAY_POLICIES["product"], light) > 0.95
+
+
+YARD_ENGINE = dataclasses.replace(
+    DENSE_ENGINE,
+    kv_tokens=450_000,
+    steps_per_pass=46,
+    step_s=0.925e-3,
+    read_s_per_token=1 / 256_000,
+    read_s_per_pair=0.0917e-9,
+)
+
+
+def test_three_huge_prompts_at_once_leave_short_ones_quick():
+    """Three prompts of 700,000 tokens arrive within a second; each is 25 s of work.
+
+    Read in parts by all replicas they stopped every short prompt and every stream of
+    the fleet for two to five seconds.
+    """
+    fleet = RelayModel(
+        YARD_ENGINE,
+        16,
+        (
+            PromptKind("short", 10.0, 4_960, 23_800, 0.9, 35, 0.3, 0.2, 1.3),
+            PromptKind(
+                "huge", 0.0, 700_000, 700_000, 0.0, 17, 3.0, 0.8, 58.0,
+                at_s=(3.0, 3.4, 3.8),
+            ),
+        ),
+    )  # fmt: skip
+    runs = [
+        model_relays(fleet, RELAY_POLICIES["product"], seconds=9.0, random_state=seed)
+        for seed in SEEDS
+    ]
+    short = [run.kinds[0].good for run in runs]
+    assert sum(short) / len(short) >= 0.95
--- a/lycheetide/placement/__init__.py
+++ b/lycheetide/placement/__init__.py
@@ -1,18 +1,6 @@
 """Where a request goes: pure functions of what is known and of the time."""
 
-from lycheetide.placement._choose import (
-    HELPERS_MOST,
-    SHORT_READ_S,
-    Candidate,
-    MemoryShare,
-    Placement,
-    Size,
-    choose_plain,
-    choose_prompt,
-    count_among,
-    rank_replicas,
-    spread_prompt,
-)
+from lycheetide.placement._choose import choose_plain, choose_prompt, rank_replicas
 from lycheetide.placement._cold import cold_allowance, may_send
 from lycheetide.placement._estimate import (
     CALLER_WAITS_S,
@@ -21,18 +9,33 @@
     pass_s,
     read_s,
 )
+from lycheetide.placement._pack import SHORT_READ_S, count_among
 from lycheetide.placement._retries import RetryWindow
+from lycheetide.placement._spread import HELPERS_MOST, SOON, spread_prompt
 from lycheetide.placement._tickets import needs_sharing, share_memory
+from lycheetide.placement._types import (
+    Arrivals,
+    Candidate,
+    GapGroup,
+    MemoryShare,
+    Placement,
+    Size,
+    UnreadPrompt,
+)
 
 __all__ = [
     "CALLER_WAITS_S",
     "HELPERS_MOST",
     "SHORT_READ_S",
+    "SOON",
+    "Arrivals",
     "Candidate",
+    "GapGroup",
     "MemoryShare",
     "Placement",
     "RetryWindow",
     "Size",
+    "UnreadPrompt",
     "caller_patience_s",
     "choose_plain",
     "choose_prompt",
--- a/lycheetide/placement/_tickets.py
+++ b/lycheetide/placement/_tickets.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from lycheetide.placement._choose import Candidate, MemoryShare
+from lycheetide.placement._types import Candidate, MemoryShare
 
 LARGEST_SHARE = 0.6
 """Part of a replica's memory that one prompt may take, so that short work has room."""
--- a/lycheetide/placement/tests/test_choose.py
+++ b/lycheetide/placement/tests/test_choose.py
@@ -11,8 +11,11 @@
 import pytest
 
 from lycheetide.placement import (
+    Arrivals,
     Candidate,
+    GapGroup,
     Size,
+    UnreadPrompt,
     choose_plain,
     choose_prompt,
     count_among,
@@ -37,6 +40,8 @@
 ARCHIVE = Size(133_000, 700)
 PAUSE_S = 0.25
 """A longer pause between the events of a short answer is noticed."""
+ONE_SHORT = (GapGroup(PAUSE_S, QUICK.weight),)
+SIX_SHORT = (GapGroup(PAUSE_S, 6 * QUICK.weight),)
 
 
 def make_replicas(count=16, **by_rank):
@@ -64,9 +69,7 @@
     for _ in range(24):
         first = choose(QUICK, replicas).first
         used.add(first.id)
-        replicas[first.rank] = dataclasses.replace(
-            first, writers=first.writers + 1, short_writers=first.short_writers + 1
-        )
+        replicas[first.rank] = dataclasses.replace(first, writers=first.writers + 1)
     assert len(used) == 4
 
 
@@ -77,7 +80,7 @@
     the length of an answer, 1.5 s, while replicas beside it were idle.
     """
     luck = random.Random(1)
-    busy = {f"w{rank}": {"writers": 6, "short_writers": 6} for rank in range(16)}
+    busy = {f"w{rank}": {"writers": 6, "writing": SIX_SHORT} for rank in range(16)}
     replicas = make_replicas(32, **busy)
     among = count_among(90.0, 0.045)
     overfilled = 0
@@ -106,9 +109,7 @@
             ENGINE, QUICK, replicas, target_s=0.3, among=5, draw=luck.random()
         ).first
         used.add(first.id)
-        replicas[first.rank] = dataclasses.replace(
-            first, writers=first.writers + 1, short_writers=first.short_writers + 1
-        )
+        replicas[first.rank] = dataclasses.replace(first, writers=first.writers + 1)
     assert len(used) <= 8
 
 
@@ -145,10 +146,10 @@
     Read on all, the huge prompt would be some 100 ms sooner, of the 2.5 s that its
     caller waits gladly, and stretch every short answer's pause.
     """
-    busy = {f"w{rank}": {"writers": 6, "short_writers": 6} for rank in range(8)}
+    busy = {f"w{rank}": {"writers": 6, "writing": SIX_SHORT} for rank in range(8)}
     placement = choose(ARCHIVE, make_replicas(**busy))
     parts = (placement.first, *placement.helpers)
-    assert all(part.short_writers == 0 for part in parts)
+    assert all(not part.writing for part in parts)
     assert len(parts) == 8
 
 
@@ -156,27 +157,95 @@
     """Only one replica is idle; alone it would take 1.9 s, of a target of 2.5 s.
 
     With one more it is soon enough; read at all sixteen it would stretch the pauses of
-    ninety short answers for nothing.
+    ninety short answers, whose callers notice the least delay, for nothing.
     """
-    busy = {f"w{rank}": {"writers": 6, "short_writers": 6} for rank in range(14)}
-    busy["w14"] = {"writers": 1, "short_writers": 1}
+    hurried = (GapGroup(0.12, 6 * QUICK.weight),)
+    busy = {f"w{rank}": {"writers": 6, "writing": hurried} for rank in range(14)}
+    busy["w14"] = {"writers": 1, "writing": (GapGroup(0.12, QUICK.weight),)}
     placement = choose(ARCHIVE, make_replicas(**busy))
     assert placement.first.rank == 15
     assert [one.rank for one in placement.helpers] == [14]
     assert placement.expected_s < 0.6 * 2.5
 
 
+def test_parts_that_nobody_notices_are_read_beside_short_answers():
+    """The same, but callers bear pauses of 250 ms, and a part takes 150 ms."""
+    busy = {f"w{rank}": {"writers": 6, "writing": SIX_SHORT} for rank in range(15)}
+    placement = choose(ARCHIVE, make_replicas(**busy))
+    assert placement.harm == 0.0
+    assert pass_s(ENGINE, 6) + placement.part_read_s < PAUSE_S
+    assert placement.expected_s < 0.2 * 2.5
+
+
 def test_a_huge_prompt_is_read_everywhere_when_it_would_be_late_otherwise():
-    """Wanted within half a second, it takes 4.8 s at one replica."""
-    busy = {f"w{rank}": {"writers": 6, "short_writers": 6} for rank in range(15)}
+    """Wanted within half a second, it takes 4.8 s at one replica; all are idle."""
+    placement = choose(Size(230_000, 100), make_replicas(), target_s=0.5)
+    assert len(placement.helpers) + len(placement.holders) >= 12
+    assert placement.expected_s < 0.5
+
+
+def test_a_huge_prompt_does_not_stop_a_fleet_to_be_in_time_itself():
+    """It is wanted within half a second, and all replicas write short answers.
+
+    Read everywhere it would be in time, and ninety short answers would stand still for
+    a third of a second. It counts as sixteen short requests, so it is read at few
+    replicas, and late.
+    """
+    busy = {f"w{rank}": {"writers": 6, "writing": SIX_SHORT} for rank in range(16)}
     size = Size(230_000, 100)
     placement = choose(size, make_replicas(**busy), target_s=0.5)
-    assert len(placement.helpers) >= 12
+    assert 1 + len(placement.helpers) + len(placement.holders) <= 3
+    assert placement.harm < 3 * 6 * QUICK.weight
+
+
+def test_a_prompt_that_stops_more_than_it_is_worth_says_so():
+    """All of nine replicas are full of short answers, and 580,000 tokens arrive.
+
+    Read anywhere, it makes more requests late than it counts for itself; who places it
+    can see that, wait until answers have ended, or refuse it.
+    """
+    full = {"writers": 7, "writing": (GapGroup(0.2, 7 * QUICK.weight),)}
+    replicas = make_replicas(9, **{f"w{rank}": full for rank in range(9)})
+    size = Size(580_000, 700)
+    arrivals = Arrivals(per_s=39.0, target_s=0.3)
+    placement = choose_prompt(ENGINE, size, replicas, target_s=3.0, arrivals=arrivals)
+    assert placement.harm > size.weight
+    placement = choose_prompt(ENGINE, size, make_replicas(9), target_s=3.0)
+    assert placement.harm == 0.0
+
+
+def test_replicas_are_left_free_for_the_short_prompts_that_come_meanwhile():
+    """700,000 tokens take 1.8 s of a whole fleet, and ten short prompts come a second.
+
+    Read at all sixteen replicas, the short ones would all stand behind it.
+    """
+    size = Size(580_000, 700)
+    arrivals = Arrivals(per_s=10.0, target_s=0.3)
+    placement = choose_prompt(
+        ENGINE, size, make_replicas(), target_s=6.0, arrivals=arrivals
+    )
+    readers = 1 + len(placement.helpers) + len(placement.holders)
+    assert 8 <= readers <= 14
+    assert placement.harm == 0.0
+
+
+def test_a_part_does_not_overtake_a_prompt_that_has_no_time_left():
+    """A replica reads parts of others' prompts ahead of what waits there.
+
+    Its own prompt, whose other parts were read long ago, was overtaken by each later
+    one, and came after seven seconds instead of two.
+    """
+    waiting = {"backlog_s": 0.4, "unread": (UnreadPrompt(0.1, 40.0),)}
+    replicas = make_replicas(8, w0=waiting, w1=waiting)
+    placement = choose(ARCHIVE, replicas)
+    readers = {placement.first.rank, *(one.rank for one in placement.helpers)}
+    assert len(readers) >= 4
+    assert readers.isdisjoint({0, 1})
 
 
 def test_parts_of_a_prompt_do_not_stretch_a_pause_too_far():
     """One part of an ordinary archive search beside short answers, read everywhere."""
-    busy = {f"w{rank}": {"writers": 6, "short_writers": 6} for rank in range(16)}
+    busy = {f"w{rank}": {"writers": 6, "writing": SIX_SHORT} for rank in range(16)}
     placement = choose(ARCHIVE, make_replicas(**busy), target_s=0.3)
     assert pass_s(ENGINE, 6, 40_000) + placement.part_read_s < PAUSE_S
 
@@ -197,14 +266,18 @@
 def test_a_prompt_above_one_memory_is_shared_and_read_apart_from_short_ones():
     """600,000 tokens; a replica holds 232,000."""
     size = Size(600_000, 700)
-    busy = {f"w{rank}": {"writers": 6, "short_writers": 6} for rank in range(4)}
+    busy = {f"w{rank}": {"writers": 6, "writing": SIX_SHORT} for rank in range(4)}
     replicas = make_replicas(**busy)
-    first, shares = share_memory(ENGINE, size.tokens, replicas)
-    placement = spread_prompt(ENGINE, size, first, shares, replicas, target_s=9.0)
-    taking_part = (first, *(one.replica for one in shares), *placement.helpers)
+    placement = spread_prompt(ENGINE, size, replicas, target_s=9.0)
+    shares = placement.holders
+    taking_part = (
+        placement.first,
+        *(one.replica for one in shares),
+        *placement.helpers,
+    )
     assert sum(share.tokens for share in shares) >= size.tokens - 0.5 * 232_000
     assert max(share.tokens for share in shares) <= 0.6 * 232_000
-    assert all(one.short_writers == 0 for one in taking_part)
+    assert all(not one.writing for one in taking_part)
     assert len({one.id for one in taking_part}) == len(taking_part)
 
 
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from lycheetide.board import Ended, Job, Part, Started, Suspected
+from lycheetide.board import Ended, Part, Started, Suspected, make_job
 from lycheetide.exchange import Answer, CallerRequest
 from lycheetide.httpclient import ChannelBroken, ConnectFailed, count_kept
 from lycheetide.placement import Placement, Size
@@ -89,17 +89,30 @@
 
 @asynccontextmanager
 async def announced(relay, call, placement):
-    """Tell all nodes of an attempt while it lasts."""
+    """Tell all nodes of an attempt while it lasts.
+
+    Yields
+    ------
+    str
+        Its name.
+    """
     now_s = read_clock()
     lasts_s = max(0.0, call.left_s(now_s=now_s)) + JOB_SLACK_S
     job_id = relay.next_job()
-    parts = make_parts(call, placement)
-    relay.board.start(
-        Job(job_id, relay.node, parts, now_s, now_s + lasts_s), now_s=now_s
+    due_s = call.request.received_s + call.route.target_latency_s
+    started = Started(
+        relay.node,
+        job_id,
+        make_parts(call, placement),
+        lasts_ms=round(lasts_s * 1e3),
+        due_in_ms=round((due_s - now_s) * 1e3),
+        gap_ms=round(call.route.target_gap_s * 1e3),
+        weight_hundredths=round(call.size.weight * 100),
     )
-    relay.tell_work(Started(relay.node, job_id, parts, lasts_s))
+    relay.board.start(make_job(started, now_s=now_s), now_s=now_s)
+    relay.tell_work(started)
     try:
-        yield
+        yield job_id
     finally:
         relay.board.end(relay.node, job_id, now_s=read_clock())
         relay.tell_work(Ended(relay.node, job_id))
@@ -107,7 +120,7 @@
 
 def suspect(relay, replica, why):
     """Leave a replica alone for a while, here and at all other nodes."""
-    relay.board.suspect(replica, now_s=read_clock())
+    relay.trust.suspect(replica, now_s=read_clock())
     relay.tell_work(Suspected(relay.node, replica))
     relay.counters.add("replicas.suspected")
     relay.log.info("A replica is suspected.", extra={"replica": replica, "why": why})
@@ -266,7 +279,7 @@
 def note_answer(relay, replica, answer):
     """Take in what an answer's head tells of its replica and of others."""
     now_s = read_clock()
-    relay.board.hear(replica, now_s=now_s)
+    relay.trust.hear(replica, now_s=now_s)
     if answer.is_unstarted and answer.at_fault:
         for known in list(relay.replicas.replicas.values()):
             if answer.at_fault in (known.entry.id, known.entry.address):
@@ -321,6 +334,8 @@
     call.may_have_run = call.may_have_run or failure.may_have_run
     if failure.cause is Cause.REFUSED and (placement.helpers or placement.holders):
         call.helpers_refused = True
+    if failure.cause is Cause.BROKEN:
+        relay.trust.doubt(placement.first.id, now_s=read_clock())
     if failure.cause is Cause.SILENT:
         suspect(relay, placement.first.id, "silent")
     if failure.cause is Cause.OTHER_REPLICA:
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -10,11 +10,11 @@
     Changed,
     Ended,
     Hello,
-    Job,
     Started,
     Suspected,
     decode_message,
     encode_message,
+    make_job,
 )
 from lycheetide.exchange import StoreUnavailable
 from lycheetide.relay._follow import fetch_registry, note_return, take_changes
@@ -158,7 +158,7 @@
         """Return a greeting."""
         relay = self.relay
         since_s = now_s - 1.0
-        heard = [name for name, at_s in relay.board.heard_s.items() if at_s > since_s]
+        heard = relay.trust.list_answered(since_s=since_s)
         few = not relay.peers.alive(now_s=now_s)
         jobs = tuple(relay.board.running(relay.node))
         return Hello(
@@ -206,12 +206,12 @@
         """Take one message in."""
         board = self.relay.board
         match message:
-            case Started(node, job, parts, lasts_s):
-                board.start(Job(job, node, parts, now_s, now_s + lasts_s), now_s=now_s)
+            case Started():
+                board.start(make_job(message, now_s=now_s), now_s=now_s)
             case Ended(node, job):
                 board.end(node, job, now_s=now_s)
             case Suspected(_, replica):
-                board.suspect(replica, now_s=now_s)
+                self.relay.trust.suspect(replica, now_s=now_s)
             case Bundle(_, messages, spreads):
                 for one in messages:
                     self.take(one, now_s=now_s)
@@ -248,7 +248,7 @@
             if lost:
                 relay.counters.add("peers.lost_ends", lost)
         for replica in hello.heard:
-            relay.board.hear(replica, now_s=now_s)
+            relay.trust.hear_of(replica, now_s=now_s)
         for address in hello.peers:
             relay.peers.learn(address, now_s=now_s)
         note_return(relay, hello.returned_age_s, now_s=now_s)
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -5,6 +5,7 @@
 from lycheetide.board import START_WINDOW_S
 from lycheetide.placement import (
     HELPERS_MOST,
+    Arrivals,
     caller_patience_s,
     choose_plain,
     choose_prompt,
@@ -22,6 +23,8 @@
 """When to ask again where no replica takes work: a registry's news come within 1 s."""
 WAIT_S = 0.04
 """Pause before a call looks again for a place."""
+HARMLESS = 1.0
+"""Weight of other requests that a long prompt may make late without waiting first."""
 WAIT_TARGETS = 0.5
 """Part of its target for which a call waits for a place; one that comes later than
 that is refused, so that its caller can come back in time."""
@@ -100,6 +103,9 @@
         call.size,
         candidates,
         target_s=call.route.target_latency_s,
+        left_s=find_due_s(call) - now_s,
+        patience_s=find_patience_s(call),
+        arrivals=count_arrivals(relay, call, candidates, now_s=now_s),
         helpers_most=0 if call.helpers_refused else HELPERS_MOST,
         among=count_among(
             relay.board.starts_per_s(now_s=now_s), find_told_s(relay, now_s=now_s)
@@ -108,6 +114,26 @@
     )
 
 
+def count_arrivals(relay, call, candidates, *, now_s):
+    """Return what comes to a call's service meanwhile."""
+    starts = sum(
+        relay.board.starts_within(one.id, START_WINDOW_S, now_s=now_s)
+        for one in candidates
+    )
+    target_s = relay.table.find_shortest_target_s(call.service.name)
+    return Arrivals(starts / START_WINDOW_S, target_s)
+
+
+def find_due_s(call):
+    """Return when the first event of a call's answer is wanted."""
+    return call.request.received_s + call.route.target_latency_s
+
+
+def find_patience_s(call):
+    """Return how long a call's caller waits for the first event."""
+    return caller_patience_s(call.route.target_latency_s, call.route.target_gap_s)
+
+
 async def choose(relay, call):
     """Return where a call goes.
 
@@ -121,8 +147,7 @@
     while True:
         candidates, usable = list_candidates(relay, call)
         placement = find_place(relay, call, candidates, now_s=read_clock())
-        is_late = placement is not None and waits_too_long(call, placement)
-        if placement is not None and not is_late:
+        if placement is not None and is_worthwhile(call, placement):
             return placement
         waited_s = read_clock() - begun_s
         if not usable or waited_s >= WAIT_TARGETS * call.route.target_latency_s:
@@ -130,10 +155,9 @@
         await anyio.sleep(WAIT_S)
 
 
-def waits_too_long(call, placement):
-    """Tell whether a call's caller would leave while it stands behind others."""
-    patience_s = caller_patience_s(call.route.target_latency_s, call.route.target_gap_s)
-    return placement.waits_too_long(patience_s)
+def is_worthwhile(call, placement):
+    """Tell whether a call should take a place now."""
+    return placement.is_worthwhile(call.size, find_patience_s(call))
 
 
 def refuse_place(relay, call, placement, candidates):
@@ -143,13 +167,17 @@
     else:
         cause = Cause.NO_MEMORY if candidates else Cause.NO_REPLICA
     waits_s = placement.waits_s if placement is not None else 0.0
+    harm = placement.harm if placement is not None else 0.0
+    come_back_s = max(COME_BACK_S, waits_s)
+    if harm > call.size.weight:
+        come_back_s = max(come_back_s, call.route.target_latency_s)
     relay.log.info(
         "A request finds no place.",
         extra={"request": call.request.attempt_id, "cause": str(cause),
                "open_replicas": len(candidates), "waits_ms": round(waits_s * 1e3),
-               "sent": call.sent},
+               "harm": round(harm, 1), "sent": call.sent},
     )  # fmt: skip
-    return make_refusal(call, cause, come_back_s=max(COME_BACK_S, waits_s))
+    return make_refusal(call, cause, come_back_s=come_back_s)
 
 
 def make_refusal(call, cause, *, message="", come_back_s=COME_BACK_S):
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -7,12 +7,18 @@
 
 import anyio
 
-from lycheetide.board import START_WINDOW_S, Board, Peers, order_node
+from lycheetide.board import START_WINDOW_S, Board, Peers, Trust, order_node
 from lycheetide.httpclient import ChannelPool
 from lycheetide.metrics import Counters, get_log, make_statsd
 from lycheetide.metrics._exposition import Exposition
-from lycheetide.placement import SHORT_READ_S, Candidate, RetryWindow, rank_replicas
-from lycheetide.replicas import ReplicaTable
+from lycheetide.placement import (
+    Candidate,
+    GapGroup,
+    RetryWindow,
+    UnreadPrompt,
+    rank_replicas,
+)
+from lycheetide.replicas import ReplicaTable, drop_dark_domains
 from lycheetide.routes import RouteTable
 
 
@@ -81,7 +87,8 @@
         self.operator = Source({})
         self.registry = Source({})
         self.replicas = ReplicaTable()
-        self.board = Board(short_read_s=SHORT_READ_S)
+        self.board = Board()
+        self.trust = Trust()
         self.peers = Peers(settings.peer_address, fleet=settings.store_address)
         self.pool = ChannelPool()
         self.active = 0
@@ -149,6 +156,7 @@
         """Drop what is known of replicas that are gone."""
         present = self.replicas.replicas
         self.board.forget(present, now_s=now_s)
+        self.trust.forget(present, now_s=now_s)
         for replica in [name for name in self._own_starts if name not in present]:
             if not self.own_starts(replica, START_WINDOW_S, now_s=now_s):
                 del self._own_starts[replica]
@@ -192,6 +200,12 @@
             self.replicas.usable(service.name, now_s=now_s, closed=self.closed)
         )
         ranks = self._rank(frozenset(replica.entry.id for replica in usable))
+        usable = drop_dark_domains(
+            usable,
+            troubled_s=self.trust.troubled_s,
+            answered_s=self.trust.answered_s,
+            now_s=now_s,
+        )
         usable = [replica for replica in usable if replica.entry.id not in without]
         for regions in filter(None, homes):
             usable = [
@@ -202,7 +216,7 @@
         trusted = [
             replica
             for replica in usable
-            if not self.board.is_suspect(replica.entry.id, now_s=now_s)
+            if not self.trust.is_suspect(replica.entry.id, now_s=now_s)
         ]
         return [
             self._make_candidate(replica, ranks[replica.entry.id], now_s=now_s)
@@ -229,11 +243,15 @@
             rank=rank,
             slots=entry.slots,
             writers=column.writers,
-            short_writers=column.short_writers,
+            writing=tuple(GapGroup(*row) for row in column.weights.items()),
             helping=column.helping,
             backlog_s=self.board.backlog_s(entry.id, now_s=now_s),
+            unread=tuple(
+                UnreadPrompt(one.due_s - one.by_s, one.weight)
+                for one in self.board.unread(entry.id, now_s=now_s)
+            ),
             kv_tokens=column.kv_tokens,
             is_near=entry.failure_domain == self.settings.failure_domain,
-            is_recovering=self.board.is_recovering(entry.id, now_s=now_s),
+            is_recovering=self.trust.is_recovering(entry.id, now_s=now_s),
             is_cold=replica.is_cold(now_s=now_s),
         )
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -49,6 +49,10 @@
         Time from the request to the first of them.
     longest_pause_s : float
         Longest time between two of them.
+    job_id : str
+        The name of the present attempt.
+    is_read : bool
+        Whether the present replica has sent an event.
     """
 
     last_id: bytes = b""
@@ -58,6 +62,8 @@
     passed_s: float = 0.0
     first_s: float = 0.0
     longest_pause_s: float = 0.0
+    job_id: str = ""
+    is_read: bool = False
 
 
 async def serve_stream(relay, call, reply):
@@ -112,7 +118,7 @@
             placement = memory.placement or await choose(relay, call)
             call.tried.add(placement.first.id)
             try:
-                async with announced(relay, call, placement):
+                async with announced(relay, call, placement) as progress.job_id:
                     await _pass_stream(relay, call, reply, progress, placement, memory)
             except AttemptFailed as failure:
                 note_failure(relay, call, placement, failure)
@@ -125,6 +131,7 @@
     """Pass one replica's events on."""
     log_placement(relay, call, placement, memory)
     progress.at_s = read_clock()
+    progress.is_read = False
     first_s = SILENCE_S + 2 * placement.expected_s
     more = make_patience(relay, call, progress, placement.first.id)
     async with open_attempt(
@@ -151,7 +158,8 @@
         extra={
             "request": call.request.attempt_id,
             "replica": placement.first.id,
-            "helpers": len(placement.helpers),
+            "readers": list_readers(placement),
+            "part_ms": round(placement.part_read_s * 1e3),
             "tickets": len(memory.tickets),
             "prompt_tokens": call.size.prompt_tokens,
             "expected_ms": round(placement.expected_s * 1e3),
@@ -162,20 +170,30 @@
     )
 
 
+def list_readers(placement):
+    """Return the other replicas that read a part of a prompt, holders first."""
+    holders = [share.replica.id for share in placement.holders]
+    return holders + [helper.id for helper in placement.helpers]
+
+
 def make_patience(relay, call, progress, replica):
     """Return a function that tells how much longer a silent stream is waited for.
 
     A replica that others hear is alive and only busy: it gets until shortly before
-    the caller gives up. One that nobody hears is taken for dead at once.
+    the caller gives up. So does one that reads long prompts, which nobody hears either;
+    taken for dead it would do all its work again elsewhere. Any other that nobody hears
+    is taken for dead at once.
     """
     patience_s = _patience_s(call)
 
     def more():
         now_s = read_clock()
-        heard_s = relay.board.heard_s.get(replica, float("-inf"))
-        if heard_s < now_s - EVIDENCE_S - SILENCE_S:
-            return 0.0
-        return progress.at_s + patience_s - now_s
+        left_s = progress.at_s + patience_s - now_s
+        heard_s = relay.trust.heard_s(replica)
+        if heard_s >= now_s - EVIDENCE_S - SILENCE_S:
+            return left_s
+        reads_s = relay.board.column(replica).busy_until_s + SILENCE_S - now_s
+        return min(left_s, reads_s)
 
     return more
 
@@ -220,7 +238,10 @@
         if data is None:
             break
         progress.at_s = read_clock()
-        relay.board.hear(replica, now_s=progress.at_s)
+        relay.trust.hear(replica, now_s=progress.at_s)
+        if not progress.is_read:
+            progress.is_read = True
+            relay.board.note_read(relay.node, progress.job_id, now_s=progress.at_s)
         for event in splitter.split(data):
             await _pass_event(relay, call, reply, progress, event)
             quiet_s = SILENCE_S + pass_s(engine, 1)
--- a/lycheetide/relay/_tickets.py
+++ b/lycheetide/relay/_tickets.py
@@ -11,13 +11,15 @@
 import anyio
 
 from lycheetide.httpclient import ChannelBroken, ConnectFailed
-from lycheetide.placement import (
-    Placement,
-    needs_sharing,
-    share_memory,
-    spread_prompt,
+from lycheetide.placement import Placement, needs_sharing
+from lycheetide.relay._attempt import suspect
+from lycheetide.relay._place import (
+    WAIT_S,
+    WAIT_TARGETS,
+    find_place,
+    is_worthwhile,
+    list_candidates,
 )
-from lycheetide.relay._place import WAIT_TARGETS, list_candidates
 from lycheetide.relay._state import read_clock
 from lycheetide.routes import ANY_ENGINE
 
@@ -28,6 +30,8 @@
 ORDER_S = 0.6
 """How long an order may take."""
 BETWEEN_TRIES_S = 0.15
+UNREACHABLE = 0
+"""In place of the status of an order that got no answer."""
 
 
 class NoMemory(Exception):
@@ -67,7 +71,7 @@
     if not needs_sharing(engine, call.size.tokens):
         yield Memory()
         return
-    memory, held = await _reserve_all(relay, call, engine)
+    memory, held = await _reserve_all(relay, call)
     renewal = anyio.CancelScope()
     relay.tasks.start_soon(_renew, relay, held, renewal)
     try:
@@ -78,7 +82,7 @@
             relay.tasks.start_soon(_release, relay, address, ticket)
 
 
-async def _reserve_all(relay, call, engine):
+async def _reserve_all(relay, call):
     """Reserve all shares, or none and raise ``NoMemory``.
 
     Memory that others hold becomes free within seconds, so a few more tries are worth
@@ -90,15 +94,15 @@
     while read_clock() - begun_s <= patience_s:
         open_now, _ = list_candidates(relay, call)
         candidates = [one for one in open_now if one.id not in without]
-        first, shares = share_memory(engine, call.size.tokens, candidates)
-        if first is None:
+        placement = find_place(relay, call, candidates, now_s=read_clock())
+        if placement is None or not is_worthwhile(call, placement):
             without.clear()
-            await anyio.sleep(BETWEEN_TRIES_S)
+            await anyio.sleep(WAIT_S)
             continue
         job = relay.next_job()
         wanted = [
             (share.replica, f"{relay.node}/{job}/{place}", share.tokens)
-            for place, share in enumerate(shares)
+            for place, share in enumerate(placement.holders)
         ]
         results: dict[str, bool] = {}
         async with anyio.create_task_group() as group:
@@ -107,10 +111,6 @@
         held = [(one.address, ticket, tokens) for one, ticket, tokens in wanted]
         if all(results.values()):
             tickets = tuple((address, ticket) for address, ticket, _ in held)
-            placement = spread_prompt(
-                engine, call.size, first, shares, candidates,
-                target_s=call.route.target_latency_s,
-            )  # fmt: skip
             return Memory(tickets, placement), held
         for replica, ticket, _ in wanted:
             if not results[ticket]:
@@ -128,7 +128,7 @@
 
 
 async def _order(relay, outgoing, address):
-    """Send an order; return its status, or 0 where there was no answer."""
+    """Send an order; return its status, or ``UNREACHABLE``."""
     try:
         with anyio.fail_after(ORDER_S):
             head, _ = await relay.pool.call(
@@ -140,13 +140,16 @@
             "An order got no answer.", extra={"address": address, "cause": str(error)}
         )
         relay.counters.add("orders.unanswered")
-        return 0
+        return UNREACHABLE
 
 
 async def _reserve(relay, replica, ticket, tokens, results):
     """Reserve at one replica."""
     order = relay.adapter.encode_reserve(replica.address, ticket, tokens, HOLD_S)
-    results[ticket] = await _order(relay, order, replica.address) == 200
+    status = await _order(relay, order, replica.address)
+    if status == UNREACHABLE:
+        suspect(relay, replica.id, "no answer to an order")
+    results[ticket] = status == 200
 
 
 async def _renew(relay, held, scope):
--- a/lycheetide/relay/tests/test_spreading.py
+++ b/lycheetide/relay/tests/test_spreading.py
@@ -71,7 +71,7 @@
 
 def make_started(number):
     part = Part(f"i-{number:010x}", 0.02, 6_000)
-    return Started("front-17.1ecc477f.f88", f"{number:x}", (part,), 10.0)
+    return Started("front-17.1ecc477f.f88", f"{number:x}", (part,), 10_000)
 
 
 def test_nodes_agree_on_one_hub_a_failure_domain():
@@ -157,7 +157,7 @@
     Its replica looked busy at every other node until the request's deadline, so it
     got no work for some ten seconds.
     """
-    board = Board(short_read_s=0.06)
+    board = Board()
     parts = (Part("r", 0.02, 100),)
     for name, at_s in (("old", 0.0), ("kept", 0.0), ("new", 1.8)):
         board.start(Job(name, "n", parts, at_s, 10.0), now_s=at_s)
--- a/lycheetide/replicas/__init__.py
+++ b/lycheetide/replicas/__init__.py
@@ -1,5 +1,6 @@
 """The replicas that take requests: what they say of themselves, and since when."""
 
+from lycheetide.replicas._domains import drop_dark_domains
 from lycheetide.replicas._table import Change, Entry, Replica, ReplicaTable
 
-__all__ = ["Change", "Entry", "Replica", "ReplicaTable"]
+__all__ = ["Change", "Entry", "Replica", "ReplicaTable", "drop_dark_domains"]
--- a/lycheetide/routes/_match.py
+++ b/lycheetide/routes/_match.py
@@ -1,5 +1,6 @@
 """Find the route and the customer of a request."""
 
+import math
 from collections.abc import Iterator
 
 from lycheetide.routes._types import Customer, Route, Routing
@@ -47,6 +48,17 @@
             for credential in customer.credentials
         }
 
+        self._shortest_targets_s: dict[str, float] = {}
+        for route in routing.routes:
+            for share in route.shares:
+                target_s = self._shortest_targets_s.get(share.service, math.inf)
+                target_s = min(target_s, route.target_latency_s)
+                self._shortest_targets_s[share.service] = target_s
+
+    def find_shortest_target_s(self, service: str) -> float:
+        """Return the shortest time in which a route of a service wants its answer."""
+        return self._shortest_targets_s.get(service, math.inf)
+
     def find_route(self, host: str, path: str) -> Route:
         """Return the route with the longest prefix of the path.
 
