Account for losses from the saved logs of a fleet

`lycheetide losses LOG...` merges the logs as one stream and names, for each request that was late, paused, refused, cut or never answered, the cause and the prompt whose reading it stood behind: by cause, window, route and customer, and the prompts that cost others most in engine-seconds; as text, JSON or a plot. What no choice could have prevented is counted apart.

Logs with clocks that step are merged in the wrong order for that time.

--- a/lycheetide/cli/_main.py
+++ b/lycheetide/cli/_main.py
@@ -186,6 +186,70 @@
             print(f"{after_ms:10.2f} ms  {what}  {rest}")
 
 
+@cappa.command(
+    name="losses",
+    help="Say where service was lost, from the saved logs of a fleet's processes.",
+    description="Example: lycheetide losses entry-1.log entry-2.log --plot losses.png",
+)
+@dataclass
+class LossesCommand:
+    """Account for what was lost.
+
+    Parameters
+    ----------
+    logs : list of str
+        Saved logs, a file a process, each in order.
+    as_json : bool
+        Whether to print JSON.
+    plot_path : str
+        Where a plot goes besides; empty for none.
+    """
+
+    logs: list[str]
+    as_json: Annotated[bool, cappa.Arg(long="--json", help="print JSON")] = False
+    plot_path: Annotated[str, cappa.Arg(long="--plot", help="draw a PNG")] = ""
+
+    def __call__(self):
+        """Read the logs and print the account."""
+        from contextlib import ExitStack
+
+        import msgspec
+
+        from lycheetide.losses import print_summary, read_events, summarize
+
+        with ExitStack() as stack:
+            files = [stack.enter_context(open_log(path)) for path in self.logs]
+            summary = summarize(read_events(files))
+        if self.as_json:
+            print(msgspec.json.format(msgspec.json.encode(summary)).decode())
+        else:
+            for line in print_summary(summary):
+                print(line)
+        if self.plot_path:
+            draw_losses(self.logs, self.plot_path)
+
+
+def open_log(path):
+    """Return an open log, or exit."""
+    try:
+        return open(path, errors="replace")
+    except OSError as error:
+        raise cappa.Exit(f"{path} can't be read: {error}", code=EXIT_FAULTS) from None
+
+
+def draw_losses(paths, plot_path):
+    """Draw what replicas read and where requests were lost."""
+    from contextlib import ExitStack
+
+    from lycheetide.losses import account_losses, read_events, save_plot
+
+    reads: list = []
+    with ExitStack() as stack:
+        files = [stack.enter_context(open_log(path)) for path in paths]
+        losses = list(account_losses(read_events(files), note_read=reads.append))
+    save_plot(reads, losses, plot_path)
+
+
 @cappa.command(
     name="load",
     help="Send prompts of mixed lengths, drawn from a seed, and report.",
@@ -278,6 +342,7 @@
         | ConfigCommand
         | StatusCommand
         | ExplainCommand
+        | LossesCommand
         | LoadCommand
     ]
 
--- /dev/null
+++ b/lycheetide/losses/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the account of losses."""
--- a/lycheetide/relay/_serve.py
+++ b/lycheetide/relay/_serve.py
@@ -63,7 +63,10 @@
     now_s = read_clock()
     relay.retries(call.service.name).note_request(now_s=now_s)
     reply.note(
-        route=call.route.name, customer=call.customer.name if call.customer else ""
+        route=call.route.name,
+        customer=call.customer.name if call.customer else "",
+        target_ms=round(call.route.target_latency_s * 1e3),
+        gap_ms=round(call.route.target_gap_s * 1e3),
     )
     serve = serve_stream if call.route.kind is Kind.STREAM else serve_plain
     with anyio.move_on_after(max(0.0, call.left_s(now_s=now_s))) as scope:
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -49,6 +49,8 @@
         Time from the request to the first of them.
     longest_pause_s : float
         Longest time between two of them.
+    longest_pause_at_s : float
+        When it ended, from when the request came.
     job_id : str
         The name of the present attempt.
     is_read : bool
@@ -62,6 +64,7 @@
     passed_s: float = 0.0
     first_s: float = 0.0
     longest_pause_s: float = 0.0
+    longest_pause_at_s: float = 0.0
     job_id: str = ""
     is_read: bool = False
 
@@ -84,6 +87,7 @@
             events=progress.events,
             first_ms=round(progress.first_s * 1e3),
             longest_pause_ms=round(progress.longest_pause_s * 1e3),
+            longest_pause_at_ms=round(progress.longest_pause_at_s * 1e3),
         )
 
 
@@ -165,6 +169,7 @@
             "expected_ms": round(placement.expected_s * 1e3),
             "backlog_ms": round(placement.first.backlog_s * 1e3),
             "writers": placement.first.writers,
+            "slots": placement.first.slots,
             "sent": call.sent,
         },
     )
@@ -274,7 +279,9 @@
         relay.exposition.observe("first_event", progress.first_s, kind="stream")
     else:
         pause_s = now_s - progress.passed_s
-        progress.longest_pause_s = max(progress.longest_pause_s, pause_s)
+        if pause_s > progress.longest_pause_s:
+            progress.longest_pause_s = pause_s
+            progress.longest_pause_at_s = now_s - call.request.received_s
         relay.exposition.observe("pause", pause_s, kind="stream")
     progress.passed_s = now_s
     progress.events += 1
