Let a prompt harm others by what its answer is worth by then only

What it gained was a late answer, a quarter of its weight; it was allowed all of its weight.

Change: a placement says what its answer is worth by then, and is taken where the harm is no more. Late and harmful prompts wait, and are refused with the time to come back.

--- a/lycheetide/losses/tests/test_account.py
+++ b/lycheetide/losses/tests/test_account.py
@@ -168,7 +168,7 @@
 
 def test_a_long_log_is_read_without_holding_it():
     """A day's logs have millions of lines; what is kept is bounded by time."""
-    kept = []
+    kept: list[int] = []
 
     def make_lines():
         for number in range(5_000):
--- a/lycheetide/model/_relays.py
+++ b/lycheetide/model/_relays.py
@@ -198,7 +198,7 @@
         among=count_among(asked.starts_per_s, asked.told_s),
         draw=asked.luck.random(),
     )
-    if placement is None or not placement.is_worthwhile(asked.size, asked.patience_s):
+    if placement is None or not placement.is_worthwhile(asked.patience_s):
         return None
     return placement
 
--- a/lycheetide/placement/_spread.py
+++ b/lycheetide/placement/_spread.py
@@ -62,12 +62,16 @@
     left_s: float
     patience_s: float
 
+    def worth(self, expected_s):
+        """Return what a first event at a time is worth to its caller, in weight."""
+        if expected_s >= self.patience_s:
+            return 0.0
+        return self.size.weight * (1.0 - LATE * self._risk(expected_s))
+
     def own_cost(self, expected_s):
         """Return what a first event at a time costs its own caller, in weight."""
-        if expected_s >= self.patience_s:
-            return self.size.weight * (1.0 + HURRY * self.patience_s / self.target_s)
-        late = LATE * self._risk(expected_s)
-        return self.size.weight * (late + HURRY * expected_s / self.target_s)
+        hurry = HURRY * min(expected_s, self.patience_s) / self.target_s
+        return self.size.weight * (1.0 + hurry) - self.worth(expected_s)
 
     def _risk(self, expected_s):
         """Return how likely a first event expected by then comes late."""
@@ -179,7 +183,14 @@
         reader.candidate for reader in others if reader.candidate.id not in held
     )
     placement = Placement(
-        first.candidate, helpers, expected_s, part_s, holders, begins_s, harm
+        first.candidate,
+        helpers,
+        expected_s,
+        part_s,
+        holders,
+        begins_s,
+        harm,
+        wanted.worth(expected_s),
     )
     return harm + wanted.own_cost(expected_s) + READER_COST * count, placement
 
--- a/lycheetide/placement/_types.py
+++ b/lycheetide/placement/_types.py
@@ -181,6 +181,8 @@
         Until its reading begins.
     harm : float
         Weight of the requests that its reading makes late.
+    worth : float
+        What the answer is worth to its caller by then, in the same weight.
     """
 
     first: Candidate
@@ -190,12 +192,13 @@
     holders: tuple[MemoryShare, ...] = ()
     waits_s: float = 0.0
     harm: float = 0.0
+    worth: float = 1.0
 
     def waits_too_long(self, patience_s):
         """Tell whether its caller would most likely leave before the first event."""
         return self.waits_s > WAITS_PATIENCE * patience_s
 
-    def is_worthwhile(self, size, patience_s):
+    def is_worthwhile(self, patience_s):
         """Tell whether a caller gets more from this place than others lose by it.
 
         A caller that would leave while its request stands behind others gets nothing.
@@ -205,9 +208,7 @@
 
         Parameters
         ----------
-        size : Size
-            The request.
         patience_s : float
             How long its caller waits for the first event.
         """
-        return not self.waits_too_long(patience_s) and self.harm <= size.weight
+        return not self.waits_too_long(patience_s) and self.harm <= self.worth
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -157,7 +157,7 @@
 
 def is_worthwhile(call, placement):
     """Tell whether a call should take a place now."""
-    return placement.is_worthwhile(call.size, find_patience_s(call))
+    return placement.is_worthwhile(find_patience_s(call))
 
 
 def refuse_place(relay, call, placement, candidates):
@@ -169,7 +169,7 @@
     waits_s = placement.waits_s if placement is not None else 0.0
     harm = placement.harm if placement is not None else 0.0
     come_back_s = max(COME_BACK_S, waits_s)
-    if harm > call.size.weight:
+    if placement is not None and harm > placement.worth:
         come_back_s = max(come_back_s, call.route.target_latency_s)
     relay.log.info(
         "A request finds no place.",
