--- a/lycheetide/placement/tests/test_choose.py
+++ b/lycheetide/placement/tests/test_choose.py
@@ -235,7 +235,7 @@
     Its own prompt, whose other parts were read long ago, was overtaken by each later
     one, and came after seven seconds instead of two.
     """
-    waiting = {"backlog_s": 0.4, "unread": (UnreadPrompt(0.1, 40.0),)}
+    waiting = {"backlog_s": 0.02, "unread": (UnreadPrompt(0.1, 40.0),)}
     replicas = make_replicas(8, w0=waiting, w1=waiting)
     placement = choose(ARCHIVE, replicas)
     readers = {placement.first.rank, *(one.rank for one in placement.helpers)}
