Let the stand-in engine count callers that leave before its answer begins

Cause: an engine counted a request in flight until its stream ended; where the caller has left before the answer's head is written, the stream never begins, nothing of it runs, and the request is counted for the rest of the engine's life. On a busy machine that is an ordinary thing. Cold, the engine then fell over under fewer requests than it bears.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -172,12 +172,16 @@
         self.cached_prefixes.clear()
         self.report = None
 
+    def leave(self, life):
+        """Count one request less, unless the engine has begun anew since."""
+        if life == self.life:
+            self.in_flight -= 1
+
     async def stream(self, body, holding):
         """Yield the answer's chunks, one a token, then the end mark."""
         attempt_id = body["attempt_id"]
         prompt_tokens = count_tokens(body["prompt"])
         first = body.get("resume_from", 0)
-        life = self.life
         finished = False
         try:
             if self.faults.get("silent"):
@@ -209,12 +213,37 @@
             finished = True
             yield sse(end | {"usage": usage})
         finally:
-            if life == self.life:
-                self.in_flight -= 1
             if finished:
                 self.free(holding.holding_id)
 
 
+class CountedResponse(StreamingResponse):
+    """An answer that counts as in flight until it has ended, however that happens.
+
+    The stream itself can't count that: it never begins where the caller has left before
+    the answer's head is written, and nothing of it runs then.
+
+    Parameters
+    ----------
+    engine : Engine
+        Which counts it.
+    chunks : async iterator of bytes
+        The body.
+    """
+
+    def __init__(self, engine, chunks, **options):
+        super().__init__(chunks, **options)
+        self.engine = engine
+        self.life = engine.life
+
+    async def __call__(self, scope, receive, send):
+        """Send the answer."""
+        try:
+            await super().__call__(scope, receive, send)
+        finally:
+            self.engine.leave(self.life)
+
+
 def sse(value):
     """Encode one server-sent event."""
     return f"data: {json.dumps(value)}\n\n".encode()
@@ -245,7 +274,8 @@
              "at_s": time.monotonic(), "cold": engine.is_cold()}
         )  # fmt: skip
         headers = {"x-boot-id": engine.boot_id, "x-holding-id": holding.holding_id}
-        return StreamingResponse(
+        return CountedResponse(
+            engine,
             engine.stream(body, holding),
             media_type="text/event-stream",
             headers=headers,
