Let a stream that has begun take any place rather than be cut

Refusing is for callers that can come back; these had a part of their answer.

The new test fails without the change and passes with it.

--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -46,6 +46,8 @@
         Which they were.
     helpers_refused : bool
         Whether a replica refused it that was to read it together with others.
+    is_begun : bool
+        Whether its caller has got a part of the answer.
     """
 
     request: CallerRequest
@@ -59,6 +61,7 @@
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     helpers_refused: bool = False
+    is_begun: bool = False
 
     def left_s(self, *, now_s):
         """Return the time until the answer is due."""
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -156,8 +156,12 @@
 
 
 def is_worthwhile(call, placement):
-    """Tell whether a call should take a place now."""
-    return placement.is_worthwhile(find_patience_s(call))
+    """Tell whether a call should take a place now.
+
+    A stream that has begun takes any. Its caller has a part of the answer, and can't be
+    told to come back: without a place the connection would be broken off.
+    """
+    return call.is_begun or placement.is_worthwhile(find_patience_s(call))
 
 
 def refuse_place(relay, call, placement, candidates):
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -149,6 +149,7 @@
         if not reply.is_started:
             headers = relay.adapter.relayed_headers(attempt.answer.headers)
             await reply.start(200, headers)
+            call.is_begun = True
         await _pass_events(
             relay, call, reply, progress, attempt, first_s=first_s, more=more
         )
--- a/lycheetide/relay/tests/test_answers.py
+++ b/lycheetide/relay/tests/test_answers.py
@@ -75,6 +75,38 @@
     assert len(fleet.runs()) == 2
 
 
+async def test_a_stream_that_has_begun_is_not_cut_for_want_of_room():
+    """A huge prompt is read everywhere, and a stream's replica falls silent behind it.
+
+    The stream was tried elsewhere, stood behind seconds of reading there too, and was
+    broken off after three seconds of good service.
+    """
+    async with Relayed() as fleet:
+        (relay,) = fleet.relays
+        for replica in fleet.replicas:
+            replica.script = []
+        fleet.replicas[0].script = ["stall"]
+        fleet.replicas[1].script = ["stall"]
+
+        async def fill_when_begun():
+            while not fleet.seen():
+                await anyio.sleep(0.002)
+            now_s = time.monotonic()
+            for replica in fleet.replicas:
+                parts = (Part(replica.name, 5.0, 100),)
+                job = Job("j", f"other-{replica.name}", parts, now_s, now_s + 20.0)
+                relay.board.start(job, now_s=now_s)
+
+        relay.living_nodes = lambda now_s: {
+            relay.node, *(f"other-{replica.name}" for replica in fleet.replicas)
+        }  # fmt: skip
+        async with anyio.create_task_group() as group:
+            group.start_soon(fill_when_begun)
+            answer = await fleet.stream()
+    assert answer.status_code == 200
+    assert answer.content == WHOLE
+
+
 async def test_kept_connections_that_were_dropped_use_up_no_attempts():
     """Both replicas have dropped their kept connections without a word.
 
