--- a/lycheetide/model/__init__.py
+++ b/lycheetide/model/__init__.py
@@ -10,9 +10,9 @@
     make_random,
     make_round_robin,
 )
+from lycheetide.model._relay_policies import RELAY_POLICIES
 from lycheetide.model._relays import (
     DENSE_ENGINE,
-    RELAY_POLICIES,
     KindResult,
     PromptKind,
     RelayModel,
--- a/lycheetide/model/_relays.py
+++ b/lycheetide/model/_relays.py
@@ -9,22 +9,18 @@
 import itertools
 import math
 import random
-from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from lycheetide.board import Board, Job, Part
 from lycheetide.model._passes import PassEngine, Read, Writer
+from lycheetide.model._relay_policies import Asked
 from lycheetide.placement import (
     SHORT_READ_S,
-    Arrivals,
     Candidate,
     GapGroup,
-    Placement,
     Size,
     UnreadPrompt,
     caller_patience_s,
-    choose_prompt,
-    count_among,
     rank_replicas,
     read_s,
 )
@@ -41,10 +37,8 @@
     read_s_per_pair=0.138e-9,
 )
 """A large dense model on two accelerators, as the users' engines declare it."""
-HELPED_TOKENS = ((60_000, 7), (20_000, 3))
-"""Prompts over so many tokens are read together with so many others by the plain relay
-with helpers, our baseline."""
 LASTS_S = 60.0
+"""When a request has surely ended."""
 WAIT_S = 0.04
 """Pause before a request that found no place is placed anew."""
 WAIT_TARGETS = 0.5
@@ -146,91 +140,6 @@
         return self.is_whole and in_time and self.longest_gap_s <= self.kind.gap_s
 
 
-@dataclass(frozen=True)
-class Asked:
-    """What a policy is asked.
-
-    Parameters
-    ----------
-    engine : Engine
-        The replicas' figures.
-    size : Size
-        The prompt.
-    candidates : sequence of Candidate
-        The replicas, as nodes know them.
-    target_s : float
-        When its first event is wanted.
-    patience_s : float
-        How long its caller waits for that.
-    starts_per_s : float
-        Requests that nodes placed lately.
-    shortest_target_s : float
-        The shortest time in which a kind of prompt wants its first event.
-    told_s : float
-        How late nodes know of one another's work.
-    luck : random.Random
-        For what is left to chance.
-    """
-
-    engine: Engine
-    size: Size
-    candidates: Sequence[Candidate]
-    target_s: float
-    patience_s: float
-    starts_per_s: float
-    shortest_target_s: float
-    told_s: float
-    luck: random.Random
-
-
-Policy = Callable[[Asked], Placement | None]
-
-
-def place_as_product(asked):
-    """Place, or refuse, as the product does."""
-    placement = choose_prompt(
-        asked.engine,
-        asked.size,
-        asked.candidates,
-        target_s=asked.target_s,
-        patience_s=asked.patience_s,
-        arrivals=Arrivals(asked.starts_per_s, asked.shortest_target_s),
-        among=count_among(asked.starts_per_s, asked.told_s),
-        draw=asked.luck.random(),
-    )
-    if placement is None or not placement.is_worthwhile(asked.patience_s):
-        return None
-    return placement
-
-
-def place_least_work(asked):
-    """Place where the least reading and the fewest requests wait; the baseline."""
-    first = min(asked.candidates, key=lambda one: one.backlog_s + 0.01 * one.writers)
-    return Placement(first, (), 0.0, read_s(asked.engine, asked.size.prompt_tokens))
-
-
-def place_with_helpers(asked):
-    """Place as the plain relay does: the better of two, and helpers by length alone."""
-    luck = asked.luck
-    first = min(luck.sample(asked.candidates, 2), key=lambda one: one.writers)
-    others = sorted(
-        (one for one in asked.candidates if one.id != first.id),
-        key=lambda one: (one.writers + one.helping, luck.random()),
-    )
-    tokens = asked.size.prompt_tokens
-    count = next((n for most, n in HELPED_TOKENS if tokens > most), 0)
-    helpers = tuple(others[:count])
-    part_s = read_s(asked.engine, tokens) / (1 + len(helpers))
-    return Placement(first, helpers, 0.0, part_s)
-
-
-RELAY_POLICIES = {
-    "product": place_as_product,
-    "least work": place_least_work,
-    "relay with helpers": place_with_helpers,
-}
-
-
 def draw_arrivals(model, *, seconds, random_state):
     """Yield requests in the order of their arrival, each with its number of events."""
     luck = random.Random(random_state)
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -23,8 +23,6 @@
 """When to ask again where no replica takes work: a registry's news come within 1 s."""
 WAIT_S = 0.04
 """Pause before a call looks again for a place."""
-HARMLESS = 1.0
-"""Weight of other requests that a long prompt may make late without waiting first."""
 WAIT_TARGETS = 0.5
 """Part of its target for which a call waits for a place; one that comes later than
 that is refused, so that its caller can come back in time."""
