Claim ports by name, so that two test workers never get the same one

Two workers walk through one range from places 97 ports apart for each process id; a port that is found free is bound only when its node has started, seconds later on a busy machine, and the other worker found it free too.

Change: a port's name is claimed by a socket until 300 others have been given out.

--- a/standins/local.py
+++ b/standins/local.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import time
+from collections import deque
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -32,23 +33,49 @@
 for _ in range(os.getpid() * 97 % 20_000):
     next(PORTS)
 
+CLAIMS_KEPT = 300
+"""Ports that are claimed for the processes of one test; more than any needs."""
+claims: deque[socket.socket] = deque()
+
 
 def find_port():
     """Return a port of the loopback address that is free and was not given lately.
 
     A port that the system picks is in the range of outgoing connections, one of which
-    may take it before the process that it is meant for has started.
+    may take it before the process that it is meant for has started. So may another test
+    process that looks for a port at the same moment; on a busy machine the process
+    that it is meant for takes seconds to bind it. A claim under the port's name keeps
+    it for this process until many others have been given out.
     """
     for port in PORTS:
+        claim = claim_port(port)
+        if claim is None:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
             except OSError:
+                claim.close()
                 continue
-            return port
+        claims.append(claim)
+        if len(claims) > CLAIMS_KEPT:
+            claims.popleft().close()
+        return port
     raise AssertionError("unreachable")
 
 
+def claim_port(port):
+    """Return a socket that holds a port's name, or None where another process does."""
+    claim = socket.socket(socket.AF_UNIX)
+    try:
+        # A name that begins with a zero byte is in no folder, and ends with its socket.
+        claim.bind(f"\0lycheetide-port-{port}")
+    except OSError:
+        claim.close()
+        return None
+    return claim
+
+
 def takes_hangups(pid):
     """Tell whether a hangup doesn't end a process, by the system's own record.
 
