--- a/lycheetide/board/_trust.py
+++ b/lycheetide/board/_trust.py
@@ -5,6 +5,8 @@
 and answers that broke off do where several of one failure domain come together.
 """
 
+from lycheetide.board._board import FORGET_S
+
 NEVER_S = float("-inf")
 SUSPECT_S = 3.0
 """How long a replica that was silent is left alone; doubles up to the next constant."""
@@ -14,8 +16,6 @@
 TOLD_AGE_S = 1.3
 """How old a peer's word may be that a replica answered: peers name those that they
 heard within a second, and greet each 0.3 s."""
-FORGET_S = 60.0
-"""How long a replica is remembered that is gone: longer than any limit looks back."""
 MOST_DOUBLINGS = 4
 
 
--- a/lycheetide/cli/_main.py
+++ b/lycheetide/cli/_main.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
@@ -211,14 +212,11 @@
 
     def __call__(self):
         """Read the logs and print the account."""
-        from contextlib import ExitStack
-
         import msgspec
 
         from lycheetide.losses import print_summary, read_events, summarize
 
-        with ExitStack() as stack:
-            files = [stack.enter_context(open_log(path)) for path in self.logs]
+        with open_logs(self.logs) as files:
             summary = summarize(read_events(files))
         if self.as_json:
             print(msgspec.json.format(msgspec.json.encode(summary)).decode())
@@ -229,23 +227,27 @@
             draw_losses(self.logs, self.plot_path)
 
 
-def open_log(path):
-    """Return an open log, or exit."""
-    try:
-        return open(path, errors="replace")
-    except OSError as error:
-        raise cappa.Exit(f"{path} can't be read: {error}", code=EXIT_FAULTS) from None
+@contextmanager
+def open_logs(paths):
+    """Open logs, or exit; they are closed behind the block."""
+    with ExitStack() as stack:
+        try:
+            files = [
+                stack.enter_context(open(path, errors="replace")) for path in paths
+            ]
+        except OSError as error:
+            raise cappa.Exit(
+                f"a log can't be read: {error}", code=EXIT_FAULTS
+            ) from None
+        yield files
 
 
 def draw_losses(paths, plot_path):
     """Draw what replicas read and where requests were lost."""
-    from contextlib import ExitStack
-
     from lycheetide.losses import account_losses, read_events, save_plot
 
     reads: list = []
-    with ExitStack() as stack:
-        files = [stack.enter_context(open_log(path)) for path in paths]
+    with open_logs(paths) as files:
         losses = list(account_losses(read_events(files), note_read=reads.append))
     save_plot(reads, losses, plot_path)
 
--- a/lycheetide/losses/_lines.py
+++ b/lycheetide/losses/_lines.py
@@ -7,10 +7,9 @@
 import msgspec
 
 from lycheetide.losses._types import Event
-from lycheetide.metrics import PARTS
+from lycheetide.metrics import HIDDEN, PARTS
 
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
-KNOWN_FIELDS = frozenset({"time", "level", "message", "node", "request"})
 PREFIXES = tuple(PARTS.values())
 
 
@@ -54,5 +53,5 @@
         node=row.get("node", ""),
         message=message,
         request=row.get("request", ""),
-        fields={key: value for key, value in row.items() if key not in KNOWN_FIELDS},
+        fields={key: value for key, value in row.items() if key not in HIDDEN},
     )
--- a/lycheetide/metrics/__init__.py
+++ b/lycheetide/metrics/__init__.py
@@ -3,9 +3,15 @@
 from lycheetide.metrics._counters import Counters, make_statsd
 from lycheetide.metrics._explain import Explanations, Step
 from lycheetide.metrics._logs import PARTS, get_log, set_up_logs
-from lycheetide.metrics._timeline import find_cause, read_lines, sort_lines
+from lycheetide.metrics._timeline import (
+    HIDDEN,
+    find_cause,
+    read_lines,
+    sort_lines,
+)
 
 __all__ = [
+    "HIDDEN",
     "PARTS",
     "Counters",
     "Explanations",
--- a/lycheetide/placement/_spread.py
+++ b/lycheetide/placement/_spread.py
@@ -11,11 +11,8 @@
 from dataclasses import dataclass
 
 from lycheetide.placement._estimate import pass_s, read_s
-from lycheetide.placement._queue import (
-    has_memory,
-    slot_wait_s,
-    wait_s,
-)
+from lycheetide.placement._pack import SLOTS_KEPT
+from lycheetide.placement._queue import has_memory, slot_wait_s, wait_s
 from lycheetide.placement._tickets import needs_sharing, share_memory
 from lycheetide.placement._types import Arrivals, Candidate, Placement, Size
 
@@ -315,6 +312,6 @@
     ]
     writers = sum(one.writers for one in everyone)
     open_writers = sum(one.writers for one in open_now)
-    free = sum(max(0, one.slots - 1 - one.writers) for one in open_now)
+    free = sum(max(0, one.slots - SLOTS_KEPT - one.writers) for one in open_now)
     share = open_writers / writers if writers else len(open_now) / len(everyone)
     return max(0.0, arrivals.per_s * (busy_s - calm_s) * (1.0 - share) - free)
--- a/lycheetide/placement/_tickets.py
+++ b/lycheetide/placement/_tickets.py
@@ -18,8 +18,8 @@
 def share_memory(engine, tokens, candidates: Sequence[Candidate]):
     """Return which replicas set how much memory aside.
 
-    The emptiest come first, and those without short requests before others, since
-    each also reads a part of the prompt.
+    The emptiest come first, and those with little to read before others, since each
+    also reads a part of the prompt.
 
     Parameters
     ----------
--- a/lycheetide/replicas/_domains.py
+++ b/lycheetide/replicas/_domains.py
@@ -60,9 +60,7 @@
 
 def _is_dark(ids, troubled_s, answered_s, *, now_s):
     """Tell whether the replicas of a failure domain failed together."""
-    failed_s = sorted(
-        at_s for at_s in map(troubled_s, ids) if now_s - at_s < TOGETHER_S
-    )
+    failed_s = [at_s for at_s in map(troubled_s, ids) if now_s - at_s < TOGETHER_S]
     if len(failed_s) < TROUBLED_MOST:
         return False
-    return max(map(answered_s, ids)) < failed_s[-1]
+    return max(map(answered_s, ids)) < max(failed_s)
