--- a/lycheetide/httpclient/_channel.py
+++ b/lycheetide/httpclient/_channel.py
@@ -189,11 +189,17 @@
         ChannelBroken
             If nothing came, or the connection ended.
         """
+        begun_s = anyio.current_time()
         while timeout_s > 0:
             with anyio.move_on_after(timeout_s):
                 return await read()
             timeout_s = more() if more is not None else 0.0
-        raise ChannelBroken(f"{self.address} is silent", is_silent=True)
+        raise self._make_silent(anyio.current_time() - begun_s)
+
+    def _make_silent(self, waited_s):
+        """Return the error of a connection on which nothing came."""
+        message = f"nothing from {self.address} for {waited_s:.2f} s"
+        return ChannelBroken(message, is_silent=True)
 
     def _encode(self, outgoing):
         """Return the bytes of a request."""
@@ -288,7 +294,7 @@
                     if size > largest_bytes:
                         raise ChannelBroken(f"{self.address} sent over {size} bytes")
         except TimeoutError:
-            raise ChannelBroken(f"{self.address} is silent", is_silent=True) from None
+            raise self._make_silent(timeout_s) from None
         return b"".join(parts)
 
     def _finish(self):
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -1,5 +1,6 @@
 """Send a request to one replica and read the head of its answer."""
 
+import math
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -357,5 +358,22 @@
             "detail": str(failure),
             "may_have_run": call.may_have_run,
             "sent": call.sent,
+            **describe_evidence(relay, placement.first.id, now_s=read_clock()),
         },
     )
+
+
+def describe_evidence(relay, replica, *, now_s):
+    """Return what the log says of a replica's life, in ms.
+
+    Returns
+    -------
+    dict
+        ``heard_ms``: how long ago this node or a peer had an answer of it, left out
+        where none did; ``reads_ms``: how much longer it reads prompts.
+    """
+    evidence = {"reads_ms": round(relay.board.backlog_s(replica, now_s=now_s) * 1e3)}
+    heard_s = relay.trust.heard_s(replica)
+    if math.isfinite(heard_s):
+        evidence["heard_ms"] = round((now_s - heard_s) * 1e3)
+    return evidence
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -13,7 +13,6 @@
     count_among,
     may_send,
 )
-from lycheetide.relay._attempt import spend_retry
 from lycheetide.relay._outcomes import Cause, Refusal
 from lycheetide.relay._spreading import find_told_s
 from lycheetide.relay._state import read_clock
@@ -190,27 +189,3 @@
     if call.may_have_run:
         return Refusal(502, cause, message=message)
     return Refusal(503, cause, retry_after_s=come_back_s, message=message)
-
-
-def may_try_again(relay, call, *, needs_s):
-    """Tell whether a call may go to one more replica, and take that from the budget.
-
-    Parameters
-    ----------
-    relay : RelayState
-        This node.
-    call : Call
-        The call.
-    needs_s : float
-        What another attempt would take.
-    """
-    now_s = read_clock()
-    if call.may_have_run and not call.route.is_repeatable:
-        return False
-    if call.left_s(now_s=now_s) <= needs_s:
-        return False
-    if call.sent == 0:
-        return True
-    if call.sent >= call.route.max_attempts:
-        return False
-    return spend_retry(relay, call)
--- a/lycheetide/relay/_plain.py
+++ b/lycheetide/relay/_plain.py
@@ -9,7 +9,8 @@
     open_attempt,
 )
 from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal
-from lycheetide.relay._place import choose, make_refusal, may_try_again
+from lycheetide.relay._place import choose, make_refusal
+from lycheetide.relay._retries import may_try_again
 from lycheetide.relay._state import read_clock
 
 SILENCE_S = 0.8
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -12,7 +12,8 @@
 )
 from lycheetide.relay._events import EventSplitter
 from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal, StreamCut
-from lycheetide.relay._place import choose, make_refusal, may_try_again
+from lycheetide.relay._place import choose, make_refusal
+from lycheetide.relay._retries import may_try_again
 from lycheetide.relay._state import read_clock
 from lycheetide.relay._tickets import NoMemory, hold_memory
 from lycheetide.routes import ANY_ENGINE
--- a/lycheetide/relay/tests/test_answers.py
+++ b/lycheetide/relay/tests/test_answers.py
@@ -190,6 +190,27 @@
         assert len(fleet.runs()) == 1
 
 
+@pytest.mark.parametrize(
+    ("path", "ratio", "why"),
+    [
+        ("/stream/s", 100.0, "no_attempts"),
+        ("/stream/s", 0.0, "no_budget"),
+        ("/stream-once/s", 100.0, "not_repeatable"),
+    ],
+)
+async def test_a_stream_that_breaks_off_for_good_leaves_the_reason(path, ratio, why):
+    """The log of a broken stream didn't tell which limit kept it from a replica."""
+    async with Relayed() as fleet:
+        (relay,) = fleet.relays
+        window = relay.retries("models")
+        window.ratio, window.extra = ratio, 0.0
+        for replica in fleet.replicas:
+            replica.events, replica.always = 20, "break"
+        with pytest.raises(httpx.RemoteProtocolError):
+            await fleet.stream(path=path)
+        assert relay.counters.counts[f"not_retried.{why}"] == 1
+
+
 @pytest.mark.parametrize("step", ["reset", "garbled", "crossed", "break"])
 async def test_a_booking_whose_answer_is_lost_is_never_called_not_run(step):
     """The replica has run the booking, and its answer is lost or spoilt.
