--- /dev/null
+++ b/lycheetide/relay/tests/test_silence.py
@@ -0,0 +1,94 @@
+"""A silent replica is given up only where another one may take the request."""
+
+import anyio
+import pytest
+
+from standins.relayed import Relayed, make_config
+from standins.replica import Replica, make_event
+
+pytestmark = pytest.mark.anyio
+
+EVENTS = 8
+WHOLE = b"".join(make_event(number) for number in range(1, EVENTS + 1))
+PAUSE_S = 1.6
+"""Longer than a node waits for an event before it tries another replica, and shorter
+than the 2 s after which callers give a stream up."""
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def make_patient_config():
+    """Return a configuration whose requests outlast two long pauses."""
+    config = make_config()
+    for route in config["routes"]:
+        route["timeoutMs"] = 10_000
+    return config
+
+
+def let_pause(fleet, step):
+    """Let each replica's first answer pause."""
+    for replica in fleet.replicas:
+        replica.events, replica.script = EVENTS, [step]
+        replica.long_pause_s = PAUSE_S
+
+
+def forbid_retries(relay):
+    """Leave a node no retry in its budget."""
+    window = relay.retries("models")
+    window.ratio, window.extra = 0.0, 0.0
+
+
+@pytest.mark.parametrize(("replicas", "has_budget"), [(2, True), (2, False), (1, True)])
+async def test_a_stream_that_may_go_nowhere_else_outlasts_a_silence(
+    replicas, has_budget
+):
+    """A stream is cut while its replica, behind a huge prompt, is only silent.
+
+    Its attempts or the retry budget are used up, or there is no other replica.
+    """
+    async with Relayed(replicas=replicas, config=make_patient_config()) as fleet:
+        let_pause(fleet, "pause")
+        if not has_budget:
+            forbid_retries(fleet.relays[0])
+        answer = await fleet.stream(deadline_ms=10_000)
+    assert answer.content == WHOLE
+
+
+async def test_a_lookup_that_may_go_nowhere_else_outlasts_a_silence():
+    """A lookup gets 502 from a node whose retry budget is used up.
+
+    Its replica answers in time, but later than others are usually asked.
+    """
+    async with Relayed(config=make_patient_config()) as fleet:
+        let_pause(fleet, "pause")
+        forbid_retries(fleet.relays[0])
+        answer = await fleet.look(deadline_ms=10_000)
+    assert answer.status_code == 200
+    assert len(fleet.runs()) == 1
+
+
+async def test_a_stream_that_has_begun_waits_for_a_replica_to_go_on_at():
+    """A stream's replica breaks off while no other one is in the registry.
+
+    The next one is there within the time that the caller waits for an event.
+    """
+    spare = Replica("r-spare", events=EVENTS)
+    async with (
+        spare.server.run(),
+        Relayed(replicas=1, config=make_patient_config()) as fleet,
+    ):
+        (first,) = fleet.replicas
+        first.events, first.script = EVENTS, ["break"]
+
+        async def add_spare():
+            await fleet.wait_for(fleet.runs)
+            await anyio.sleep(1.0)
+            fleet.store.put("keyed.servers", spare.name, spare.entry())
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(add_spare)
+            answer = await fleet.stream(deadline_ms=10_000)
+    assert answer.content == WHOLE
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -50,7 +50,11 @@
         Whether each event names the attempt that it answers.
     script : list
         What to do with the next requests: "refuse", "reset", "silent", "break",
-        "garbled", "crossed", "extra", "unframed", "unframed-reset", "fail", "other".
+        "garbled", "crossed", "extra", "unframed", "unframed-reset", "fail", "other",
+        "pause" (says nothing for ``long_pause_s`` after two events, or before a short
+        answer), "late" (says nothing for that long before the first event).
+    long_pause_s : float
+        How long it says nothing.
     """
 
     def __init__(self, name, *, events=4, pause_s=0.01):
@@ -66,6 +70,7 @@
         self.cancelled_s = []
         self.script = []
         self.always = ""
+        self.long_pause_s = 0.0
         self.signs = False
         self.drops_kept = False
         self._kept = set()
@@ -124,6 +129,8 @@
 
     async def _answer_plainly(self, stream, head, step, attempt):
         """Answer with a short body, or a part of one."""
+        if step == "pause":
+            await anyio.sleep(self.long_pause_s)
         answer = Answer(200, f"{self.name} answers {attempt}".encode(), head)
         if step == "break":
             await stream.send(Answer(200, b"x" * 400, head).encode()[:-100])
@@ -153,12 +160,16 @@
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._watch, stream)
+                if step == "late":
+                    await anyio.sleep(self.long_pause_s)
                 for number in range(start + 1, self.count_events(request) + 1):
                     if step == "break" and number == start + 3:
                         await stream.send(b"20\r\nid: 3\nda")
                         raise Reset
                     if step == "stall" and number == start + 3:
                         await anyio.sleep_forever()
+                    if step == "pause" and number == start + 3:
+                        await anyio.sleep(self.long_pause_s)
                     await stream.send(chunk(make_event(number, signature)))
                     await anyio.sleep(self.pause_s)
                 group.cancel_scope.cancel()
