--- a/lycheetide/httpclient/_channel.py
+++ b/lycheetide/httpclient/_channel.py
@@ -194,12 +194,9 @@
             with anyio.move_on_after(timeout_s):
                 return await read()
             timeout_s = more() if more is not None else 0.0
-        raise self._make_silent(anyio.current_time() - begun_s)
-
-    def _make_silent(self, waited_s):
-        """Return the error of a connection on which nothing came."""
+        waited_s = anyio.current_time() - begun_s
         message = f"nothing from {self.address} for {waited_s:.2f} s"
-        return ChannelBroken(message, is_silent=True)
+        raise ChannelBroken(message, is_silent=True)
 
     def _encode(self, outgoing):
         """Return the bytes of a request."""
@@ -276,25 +273,35 @@
             return None
         raise ChannelBroken(f"{self.address} closed within an answer")
 
-    async def read_all(self, *, timeout_s, largest_bytes=64_000_000):
+    async def read_all(self, *, timeout_s, more=None, largest_bytes=64_000_000):
         """Return the whole body.
 
+        Parameters
+        ----------
+        timeout_s : float
+            How long it may take.
+        more : callable or None
+            As in ``request``.
+        largest_bytes : int
+            How long it may be.
+
         Raises
         ------
         ChannelBroken
             If it breaks off, falls silent or is too large.
         """
-        parts = []
+        parts: list[bytes] = []
         size = 0
-        try:
-            with anyio.fail_after(timeout_s):
-                while (part := await self.next_chunk()) is not None:
-                    parts.append(part)
-                    size += len(part)
-                    if size > largest_bytes:
-                        raise ChannelBroken(f"{self.address} sent over {size} bytes")
-        except TimeoutError:
-            raise self._make_silent(timeout_s) from None
+
+        async def read_rest():
+            nonlocal size
+            while (part := await self.next_chunk()) is not None:
+                parts.append(part)
+                size += len(part)
+                if size > largest_bytes:
+                    raise ChannelBroken(f"{self.address} sent over {size} bytes")
+
+        await self.wait_for(read_rest, timeout_s, more)
         return b"".join(parts)
 
     def _finish(self):
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -49,6 +49,8 @@
         Whether a replica refused it that was to read it together with others.
     is_begun : bool
         Whether its caller has got a part of the answer.
+    has_retry : bool
+        Whether its next attempt was taken from the retry budget.
     """
 
     request: CallerRequest
@@ -63,6 +65,7 @@
     tried: set[str] = field(default_factory=set)
     helpers_refused: bool = False
     is_begun: bool = False
+    has_retry: bool = False
 
     def left_s(self, *, now_s):
         """Return the time until the answer is due."""
@@ -217,6 +220,7 @@
         if not is_counted:
             # A replica that can't be reached uses up no attempt.
             call.sent += 1
+            call.has_retry = False
             is_counted = True
         is_kept = channel.served > 0
         try:
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -121,6 +121,12 @@
     return Arrivals(starts / START_WINDOW_S, target_s)
 
 
+def has_place(relay, call, *, now_s):
+    """Tell whether a replica would take a call now."""
+    open_now, _ = list_candidates(relay, call)
+    return is_worthwhile(call, find_place(relay, call, open_now, now_s=now_s))
+
+
 def find_due_s(call):
     """Return when the first event of a call's answer is wanted."""
     return call.request.received_s + call.route.target_latency_s
@@ -144,7 +150,7 @@
     while True:
         candidates, usable = list_candidates(relay, call)
         placement = find_place(relay, call, candidates, now_s=read_clock())
-        if placement is not None and is_worthwhile(call, placement):
+        if is_worthwhile(call, placement):
             return placement
         waited_s = read_clock() - begun_s
         if not usable or waited_s >= WAIT_TARGETS * call.route.target_latency_s:
@@ -153,11 +159,13 @@
 
 
 def is_worthwhile(call, placement):
-    """Tell whether a call should take a place now.
+    """Tell whether a call should take a place, or None for no place, now.
 
     A stream that has begun takes any. Its caller has a part of the answer, and can't be
     told to come back: without a place the connection would be broken off.
     """
+    if placement is None:
+        return False
     return call.is_begun or placement.is_worthwhile(find_patience_s(call))
 
 
--- a/lycheetide/relay/_plain.py
+++ b/lycheetide/relay/_plain.py
@@ -9,6 +9,7 @@
     open_attempt,
 )
 from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal
+from lycheetide.relay._patience import make_answer_patience
 from lycheetide.relay._place import choose, make_refusal
 from lycheetide.relay._retries import may_try_again
 from lycheetide.relay._state import read_clock
@@ -78,12 +79,13 @@
     wait_s = left_s
     if call.route.is_repeatable and call.sent + 1 < call.route.max_attempts:
         wait_s = min(left_s, max(SILENCE_S, 2 * call.route.target_latency_s))
+    more = make_answer_patience(relay, call, placement.first.id, needs_s=AGAIN_S)
     async with (
         announced(relay, call, placement),
-        open_attempt(relay, call, placement, head_s=wait_s) as attempt,
+        open_attempt(relay, call, placement, head_s=wait_s, more=more) as attempt,
     ):
         try:
-            body = await attempt.channel.read_all(timeout_s=wait_s)
+            body = await attempt.channel.read_all(timeout_s=wait_s, more=more)
         except ChannelBroken as broken:
             raise make_failure(broken, is_written=True) from broken
         return attempt.answer, body
--- a/lycheetide/relay/_retries.py
+++ b/lycheetide/relay/_retries.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 
 from lycheetide.relay._attempt import spend_retry
+from lycheetide.relay._place import has_place
 from lycheetide.relay._state import read_clock
 
 
@@ -13,6 +14,7 @@
     NO_TIME = "no_time"
     NO_ATTEMPTS = "no_attempts"
     NO_BUDGET = "no_budget"
+    NO_PLACE = "no_place"
 
 
 def may_try_again(relay, call, *, needs_s):
@@ -27,7 +29,9 @@
     needs_s : float
         What another attempt would take.
     """
-    hindrance = find_hindrance(relay, call, needs_s=needs_s, now_s=read_clock())
+    hindrance = find_limit(call, needs_s=needs_s, now_s=read_clock())
+    if hindrance is None and not take_retry(relay, call):
+        hindrance = Hindrance.NO_BUDGET
     if hindrance is None:
         return True
     relay.counters.add(f"not_retried.{hindrance}")
@@ -44,19 +48,40 @@
     return False
 
 
-def find_hindrance(relay, call, *, needs_s, now_s):
-    """Return why a call may not go to another replica, or None.
+def prepare_successor(relay, call, *, needs_s, now_s):
+    """Make sure that another replica can take a call over from the present one.
 
-    A retry is taken from the budget where nothing else stands against it.
+    Returns
+    -------
+    Hindrance or None
+        Why none can. Where one can, its retry is taken from the budget.
     """
+    hindrance = find_limit(call, needs_s=needs_s, now_s=now_s)
+    if hindrance is not None:
+        return hindrance
+    if not has_place(relay, call, now_s=now_s):
+        return Hindrance.NO_PLACE
+    if not take_retry(relay, call):
+        return Hindrance.NO_BUDGET
+    return None
+
+
+def find_limit(call, *, needs_s, now_s):
+    """Return the limit of its own that keeps a call from another replica, or None."""
     if call.may_have_run and not call.route.is_repeatable:
         return Hindrance.NOT_REPEATABLE
     if call.left_s(now_s=now_s) <= needs_s:
         return Hindrance.NO_TIME
-    if call.sent == 0:
-        return None
     if call.sent >= call.route.max_attempts:
         return Hindrance.NO_ATTEMPTS
-    if not spend_retry(relay, call):
-        return Hindrance.NO_BUDGET
     return None
+
+
+def take_retry(relay, call):
+    """Take a call's next retry from the budget, once; tell whether it has one.
+
+    It is kept until the call is sent, so a replica that can't be reached uses up none.
+    """
+    if call.sent > 0 and not call.has_retry:
+        call.has_retry = spend_retry(relay, call)
+    return call.sent == 0 or call.has_retry
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from lycheetide.httpclient import ChannelBroken
-from lycheetide.placement import CALLER_WAITS_S, caller_patience_s, pass_s
+from lycheetide.placement import CALLER_WAITS_S, pass_s
 from lycheetide.relay._attempt import (
     announced,
     make_failure,
@@ -12,23 +12,13 @@
 )
 from lycheetide.relay._events import EventSplitter
 from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal, StreamCut
+from lycheetide.relay._patience import AGAIN_S, SILENCE_S, make_stream_patience
 from lycheetide.relay._place import choose, make_refusal
 from lycheetide.relay._retries import may_try_again
 from lycheetide.relay._state import read_clock
 from lycheetide.relay._tickets import NoMemory, hold_memory
 from lycheetide.routes import ANY_ENGINE
 
-SILENCE_S = 0.7
-"""Silence of a replica beyond what was expected of it that ends an attempt, unless
-others hear from it: a pass with much reading in it takes up to half a second."""
-PATIENCE = 0.6
-"""Part of the time that a caller waits for an event after which another replica is
-tried even if this one is alive; the rest is for the other one's first event."""
-AGAIN_S = 0.15
-"""What another attempt needs at least to bring an event."""
-EVIDENCE_S = 0.3
-"""Peers tell within this time which replicas they hear."""
-
 
 @dataclass
 class Progress:
@@ -138,7 +128,7 @@
     progress.at_s = read_clock()
     progress.is_read = False
     first_s = SILENCE_S + 2 * placement.expected_s
-    more = make_patience(relay, call, progress, placement.first.id)
+    more = make_stream_patience(relay, call, progress, placement.first.id)
     async with open_attempt(
         relay, call, placement, head_s=first_s, more=more,
         tickets=memory.tickets, resume_after=progress.last_id,
@@ -183,34 +173,6 @@
     return holders + [helper.id for helper in placement.helpers]
 
 
-def make_patience(relay, call, progress, replica):
-    """Return a function that tells how much longer a silent stream is waited for.
-
-    A replica that others hear is alive and only busy: it gets until shortly before
-    the caller gives up. So does one that reads long prompts, which nobody hears either;
-    taken for dead it would do all its work again elsewhere. Any other that nobody hears
-    is taken for dead at once.
-    """
-    patience_s = _patience_s(call)
-
-    def more():
-        now_s = read_clock()
-        left_s = progress.at_s + patience_s - now_s
-        heard_s = relay.trust.heard_s(replica)
-        if heard_s >= now_s - EVIDENCE_S - SILENCE_S:
-            return left_s
-        reads_s = relay.board.column(replica).busy_until_s + SILENCE_S - now_s
-        return min(left_s, reads_s)
-
-    return more
-
-
-def _patience_s(call):
-    """Return how long a live replica may stay silent on a stream."""
-    waits_s = caller_patience_s(call.route.target_latency_s, call.route.target_gap_s)
-    return PATIENCE * waits_s
-
-
 async def _pass_other(relay, call, reply, attempt):
     """Pass on a replica's answer that is no stream."""
     body = await attempt.channel.read_all(timeout_s=CALLER_WAITS_S)
--- a/lycheetide/relay/_tickets.py
+++ b/lycheetide/relay/_tickets.py
@@ -95,7 +95,7 @@
         open_now, _ = list_candidates(relay, call)
         candidates = [one for one in open_now if one.id not in without]
         placement = find_place(relay, call, candidates, now_s=read_clock())
-        if placement is None or not is_worthwhile(call, placement):
+        if not is_worthwhile(call, placement):
             without.clear()
             await anyio.sleep(WAIT_S)
             continue
--- a/lycheetide/relay/tests/test_answers.py
+++ b/lycheetide/relay/tests/test_answers.py
@@ -151,6 +151,32 @@
     assert [answer.status_code for answer in answers] == [200] * 3
 
 
+async def test_replicas_that_are_gone_use_up_no_retries():
+    """A replica fails a lookup, and the next one has just ended.
+
+    The only retry in the budget was spent on the one that couldn't be reached, and the
+    caller got a failure though a third replica had room.
+    """
+    async with Relayed(replicas=3) as fleet:
+        (relay,) = fleet.relays
+        failing, ended, sound = fleet.replicas
+        failing.always = "reset"
+        closed = f"{LOOPBACK}:{find_port()}"
+        changes = {"address": closed, "seq": 2}
+        fleet.store.put("keyed.servers", ended.name, ended.entry(**changes))
+        changes = {"zone": "cork-b", "seq": 2}
+        fleet.store.put("keyed.servers", sound.name, sound.entry(**changes))
+        known = relay.replicas.replicas
+        await fleet.wait_for(lambda: known[ended.name].entry.address == closed)
+        await fleet.wait_for(lambda: known[sound.name].entry.failure_domain == "cork-b")
+        window = relay.retries("models")
+        window.ratio, window.extra = 0.0, 1.5
+        answer = await fleet.look()
+    assert answer.status_code == 200
+    assert len(failing.runs) == len(sound.runs) == 1
+    assert relay.counters.counts["retries.connect_failed"] == 1
+
+
 async def test_addresses_that_are_used_again_use_up_no_attempts():
     """Three replicas have started anew under other names at the same addresses.
 
--- a/lycheetide/relay/tests/test_silence.py
+++ b/lycheetide/relay/tests/test_silence.py
@@ -1,5 +1,7 @@
 """A silent replica is given up only where another one may take the request."""
 
+import time
+
 import anyio
 import pytest
 
@@ -63,13 +65,42 @@
     Its replica answers in time, but later than others are usually asked.
     """
     async with Relayed(config=make_patient_config()) as fleet:
-        let_pause(fleet, "pause")
+        let_pause(fleet, "late")
         forbid_retries(fleet.relays[0])
         answer = await fleet.look(deadline_ms=10_000)
     assert answer.status_code == 200
     assert len(fleet.runs()) == 1
 
 
+@pytest.mark.parametrize(("is_heard", "status"), [(True, 200), (False, 502)])
+async def test_a_stream_that_has_not_begun_stays_at_a_living_replica_only(
+    is_heard, status
+):
+    """A prompt that may go nowhere else is given up while its replica reads for others.
+
+    A node that nobody tells of the replica takes it for dead, and answers at once.
+    """
+    async with Relayed(replicas=1, config=make_patient_config()) as fleet:
+        (relay,) = fleet.relays
+        (replica,) = fleet.replicas
+        let_pause(fleet, "late")
+
+        async def hear_of_it():
+            while True:
+                relay.trust.hear_of(replica.name, now_s=time.monotonic())
+                await anyio.sleep(0.1)
+
+        async with anyio.create_task_group() as group:
+            if is_heard:
+                group.start_soon(hear_of_it)
+            begun_s = time.monotonic()
+            answer = await fleet.stream(deadline_ms=10_000)
+            took_s = time.monotonic() - begun_s
+            group.cancel_scope.cancel()
+    assert answer.status_code == status
+    assert is_heard or took_s < PAUSE_S
+
+
 async def test_a_stream_that_has_begun_waits_for_a_replica_to_go_on_at():
     """A stream's replica breaks off while no other one is in the registry.
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -51,10 +51,10 @@
     script : list
         What to do with the next requests: "refuse", "reset", "silent", "break",
         "garbled", "crossed", "extra", "unframed", "unframed-reset", "fail", "other",
-        "pause" (says nothing for ``long_pause_s`` after two events, or before a short
-        answer), "late" (says nothing for that long before the first event).
+        "late", "pause" (says nothing for ``long_pause_s`` before its answer, or after
+        two events, and goes on).
     long_pause_s : float
-        How long it says nothing.
+        How long.
     """
 
     def __init__(self, name, *, events=4, pause_s=0.01):
@@ -115,6 +115,8 @@
             raise Reset
         if step == "silent":
             await self._wait_for_end(stream)
+        if step == "late":
+            await anyio.sleep(self.long_pause_s)
         if step == "crossed":
             attempt = "0" * 16
         head = {"Lycheetide-Attempt-Id": attempt, "Lycheetide-Response-Seal": SEAL}
@@ -129,8 +131,6 @@
 
     async def _answer_plainly(self, stream, head, step, attempt):
         """Answer with a short body, or a part of one."""
-        if step == "pause":
-            await anyio.sleep(self.long_pause_s)
         answer = Answer(200, f"{self.name} answers {attempt}".encode(), head)
         if step == "break":
             await stream.send(Answer(200, b"x" * 400, head).encode()[:-100])
@@ -160,8 +160,6 @@
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._watch, stream)
-                if step == "late":
-                    await anyio.sleep(self.long_pause_s)
                 for number in range(start + 1, self.count_events(request) + 1):
                     if step == "break" and number == start + 3:
                         await stream.send(b"20\r\nid: 3\nda")
