--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -143,8 +143,7 @@
     Raises
     ------
     Refusal
-        If no replica takes it. It is kept waiting only for a moment, where a cold
-        replica takes more soon or memory becomes free.
+        If no replica takes it in time.
     """
     begun_s = read_clock()
     while True:
@@ -152,12 +151,24 @@
         placement = find_place(relay, call, candidates, now_s=read_clock())
         if is_worthwhile(call, placement):
             return placement
-        waited_s = read_clock() - begun_s
-        if not usable or waited_s >= WAIT_TARGETS * call.route.target_latency_s:
+        is_hopeless = not usable and not call.is_begun
+        if is_hopeless or read_clock() - begun_s >= find_wait_s(call):
             raise refuse_place(relay, call, placement, candidates)
         await anyio.sleep(WAIT_S)
 
 
+def find_wait_s(call):
+    """Return how long a call looks for a place.
+
+    Before it has begun that is a moment: a cold replica takes more soon, or memory
+    becomes free. Afterwards its caller can't be told to come back, so it looks for as
+    long as its caller waits for an event.
+    """
+    if call.is_begun:
+        return find_patience_s(call)
+    return WAIT_TARGETS * call.route.target_latency_s
+
+
 def is_worthwhile(call, placement):
     """Tell whether a call should take a place, or None for no place, now.
 
--- a/lycheetide/relay/_tickets.py
+++ b/lycheetide/relay/_tickets.py
@@ -15,8 +15,8 @@
 from lycheetide.relay._attempt import suspect
 from lycheetide.relay._place import (
     WAIT_S,
-    WAIT_TARGETS,
     find_place,
+    find_wait_s,
     is_worthwhile,
     list_candidates,
 )
@@ -90,8 +90,8 @@
     """
     without: set[str] = set()
     begun_s = read_clock()
-    patience_s = WAIT_TARGETS * call.route.target_latency_s
-    while read_clock() - begun_s <= patience_s:
+    wait_s = find_wait_s(call)
+    while read_clock() - begun_s <= wait_s:
         open_now, _ = list_candidates(relay, call)
         candidates = [one for one in open_now if one.id not in without]
         placement = find_place(relay, call, candidates, now_s=read_clock())
