--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -1,17 +1,18 @@
 """Send a request to one replica and read the head of its answer."""
 
-import math
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
-from lycheetide.board import Ended, Part, Started, Suspected, make_job
-from lycheetide.exchange import Answer, CallerRequest
+from lycheetide.board import Ended, Part, Started, make_job
+from lycheetide.exchange import Answer
 from lycheetide.httpclient import ChannelBroken, ConnectFailed, count_kept
-from lycheetide.placement import Placement, Size
+from lycheetide.placement import Placement
+from lycheetide.relay._call import find_urgency
+from lycheetide.relay._evidence import note_answer, suspect
 from lycheetide.relay._outcomes import AttemptFailed, Cause
+from lycheetide.relay._retries import spend_retry
 from lycheetide.relay._state import read_clock
-from lycheetide.routes import Customer, Route, Service
 
 CONNECT_S = 0.4
 """How long a connection may take: a hundred round trips between failure domains."""
@@ -19,59 +20,6 @@
 """How long after its deadline a request is taken for ended if nobody says so."""
 
 
-@dataclass
-class Call:
-    """One caller's request on its way.
-
-    Parameters
-    ----------
-    request : CallerRequest
-        What came.
-    body : bytes
-        Its body.
-    route : Route
-        Where it goes.
-    service : Service
-        Which replicas serve it.
-    customer : Customer or None
-        Whose it is.
-    size : Size
-        What it asks of a replica.
-    deadline_s : float
-        When its final answer is due.
-    sent : int
-        Replicas that it was sent to.
-    may_have_run : bool
-        Whether one of them may have begun.
-    tried : set of str
-        Which they were.
-    helpers_refused : bool
-        Whether a replica refused it that was to read it together with others.
-    is_begun : bool
-        Whether its caller has got a part of the answer.
-    has_retry : bool
-        Whether its next attempt was taken from the retry budget.
-    """
-
-    request: CallerRequest
-    body: bytes
-    route: Route
-    service: Service
-    customer: Customer | None
-    size: Size
-    deadline_s: float
-    sent: int = 0
-    may_have_run: bool = False
-    tried: set[str] = field(default_factory=set)
-    helpers_refused: bool = False
-    is_begun: bool = False
-    has_retry: bool = False
-
-    def left_s(self, *, now_s):
-        """Return the time until the answer is due."""
-        return self.deadline_s - now_s
-
-
 @dataclass
 class Attempt:
     """A request at one replica, with its answer's head read."""
@@ -125,14 +73,6 @@
         relay.tell_work(Ended(relay.node, job_id))
 
 
-def suspect(relay, replica, why):
-    """Leave a replica alone for a while, here and at all other nodes."""
-    relay.trust.suspect(replica, now_s=read_clock())
-    relay.tell_work(Suspected(relay.node, replica))
-    relay.counters.add("replicas.suspected")
-    relay.log.info("A replica is suspected.", extra={"replica": replica, "why": why})
-
-
 @asynccontextmanager
 async def open_attempt(
     relay, call, placement, *, head_s, more=None, tickets=(), resume_after=b""
@@ -263,13 +203,6 @@
         ) from error
 
 
-def spend_retry(relay, call):
-    """Take one retry from the budget of a call's service, if there is one left."""
-    now_s = read_clock()
-    nodes = len(relay.living_nodes(now_s=now_s))
-    return relay.retries(call.service.name).spend(nodes, now_s=now_s)
-
-
 def make_failure(broken, *, is_written):
     """Return how an attempt failed whose connection broke."""
     cause = Cause.SILENT if broken.is_silent else Cause.BROKEN
@@ -284,16 +217,6 @@
     )
 
 
-def note_answer(relay, replica, answer):
-    """Take in what an answer's head tells of its replica and of others."""
-    now_s = read_clock()
-    relay.trust.hear(replica, now_s=now_s)
-    if answer.is_unstarted and answer.at_fault:
-        for known in list(relay.replicas.replicas.values()):
-            if answer.at_fault in (known.entry.id, known.entry.address):
-                suspect(relay, known.entry.id, "another replica waited for it")
-
-
 def check_answer(call, answer):
     """Check that a head answers this request.
 
@@ -315,69 +238,3 @@
         raise AttemptFailed(
             Cause.WRONG_ANSWER, "not the replica's own bytes", may_have_run=True
         )
-
-
-def find_urgency(call):
-    """Return how soon a replica admits a prompt: the shorter, the sooner."""
-    if call.size.prompt_tokens == 0:
-        return None
-    urgency = next(
-        (
-            place
-            for place, tokens in enumerate(URGENCY_TOKENS)
-            if call.size.prompt_tokens <= tokens
-        ),
-        len(URGENCY_TOKENS),
-    )
-    return min(9, urgency + 2)
-
-
-URGENCY_TOKENS = (10_000, 30_000, 60_000, 120_000)
-"""Prompt lengths at which a prompt is admitted one step later: each takes about twice
-as long to read as the one before."""
-
-
-def note_failure(relay, call, placement, failure):
-    """Note how an attempt failed."""
-    call.may_have_run = call.may_have_run or failure.may_have_run
-    if failure.cause is Cause.REFUSED and (placement.helpers or placement.holders):
-        call.helpers_refused = True
-    if failure.cause is Cause.BROKEN:
-        relay.trust.doubt(placement.first.id, now_s=read_clock())
-    if failure.cause is Cause.SILENT:
-        suspect(relay, placement.first.id, "silent")
-    if failure.cause is Cause.OTHER_REPLICA:
-        # Nothing was sent to the replica that was meant: it is gone, and its address is
-        # used again or it has started anew. Two of them in a row would leave a request
-        # without an attempt while sound replicas have room.
-        call.sent -= 1
-        suspect(relay, placement.first.id, "another replica answers there")
-    relay.counters.add(f"attempts_failed.{failure.cause}")
-    relay.log.info(
-        "An attempt failed.",
-        extra={
-            "request": call.request.attempt_id,
-            "replica": placement.first.id,
-            "cause": str(failure.cause),
-            "detail": str(failure),
-            "may_have_run": call.may_have_run,
-            "sent": call.sent,
-            **describe_evidence(relay, placement.first.id, now_s=read_clock()),
-        },
-    )
-
-
-def describe_evidence(relay, replica, *, now_s):
-    """Return what the log says of a replica's life, in ms.
-
-    Returns
-    -------
-    dict
-        ``heard_ms``: how long ago this node or a peer had an answer of it, left out
-        where none did; ``reads_ms``: how much longer it reads prompts.
-    """
-    evidence = {"reads_ms": round(relay.board.backlog_s(replica, now_s=now_s) * 1e3)}
-    heard_s = relay.trust.heard_s(replica)
-    if math.isfinite(heard_s):
-        evidence["heard_ms"] = round((now_s - heard_s) * 1e3)
-    return evidence
--- a/lycheetide/relay/_plain.py
+++ b/lycheetide/relay/_plain.py
@@ -2,12 +2,8 @@
 
 from lycheetide.exchange import Answer
 from lycheetide.httpclient import ChannelBroken
-from lycheetide.relay._attempt import (
-    announced,
-    make_failure,
-    note_failure,
-    open_attempt,
-)
+from lycheetide.relay._attempt import announced, make_failure, open_attempt
+from lycheetide.relay._evidence import note_failure
 from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal
 from lycheetide.relay._patience import make_answer_patience
 from lycheetide.relay._place import choose, make_refusal
--- a/lycheetide/relay/_retries.py
+++ b/lycheetide/relay/_retries.py
@@ -2,7 +2,6 @@
 
 from enum import StrEnum
 
-from lycheetide.relay._attempt import spend_retry
 from lycheetide.relay._place import has_place
 from lycheetide.relay._state import read_clock
 
@@ -85,3 +84,10 @@
     if call.sent > 0 and not call.has_retry:
         call.has_retry = spend_retry(relay, call)
     return call.sent == 0 or call.has_retry
+
+
+def spend_retry(relay, call):
+    """Take one retry from the budget of a call's service, if there is one left."""
+    now_s = read_clock()
+    nodes = len(relay.living_nodes(now_s=now_s))
+    return relay.retries(call.service.name).spend(nodes, now_s=now_s)
--- a/lycheetide/relay/_serve.py
+++ b/lycheetide/relay/_serve.py
@@ -3,7 +3,7 @@
 import anyio
 
 from lycheetide.placement import Size
-from lycheetide.relay._attempt import Call
+from lycheetide.relay._call import Call
 from lycheetide.relay._outcomes import Cause, Refusal, StreamCut
 from lycheetide.relay._place import COME_BACK_S, make_refusal, pick_service
 from lycheetide.relay._plain import serve_plain
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -4,13 +4,9 @@
 
 from lycheetide.httpclient import ChannelBroken
 from lycheetide.placement import CALLER_WAITS_S, pass_s
-from lycheetide.relay._attempt import (
-    announced,
-    make_failure,
-    note_failure,
-    open_attempt,
-)
+from lycheetide.relay._attempt import announced, make_failure, open_attempt
 from lycheetide.relay._events import EventSplitter
+from lycheetide.relay._evidence import note_failure
 from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal, StreamCut
 from lycheetide.relay._patience import AGAIN_S, SILENCE_S, make_stream_patience
 from lycheetide.relay._place import choose, make_refusal
--- a/lycheetide/relay/_tickets.py
+++ b/lycheetide/relay/_tickets.py
@@ -12,7 +12,7 @@
 
 from lycheetide.httpclient import ChannelBroken, ConnectFailed
 from lycheetide.placement import Placement, needs_sharing
-from lycheetide.relay._attempt import suspect
+from lycheetide.relay._evidence import suspect
 from lycheetide.relay._place import (
     WAIT_S,
     find_place,
