--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -171,7 +171,10 @@
 
 async def _pass_other(relay, call, reply, attempt):
     """Pass on a replica's answer that is no stream."""
-    body = await attempt.channel.read_all(timeout_s=CALLER_WAITS_S)
+    try:
+        body = await attempt.channel.read_all(timeout_s=CALLER_WAITS_S)
+    except ChannelBroken as broken:
+        raise make_failure(broken, is_written=True) from broken
     if reply.is_started or attempt.answer.status >= 500:
         raise AttemptFailed(
             Cause.UPSTREAM_ERROR,
--- a/lycheetide/relay/tests/test_answers.py
+++ b/lycheetide/relay/tests/test_answers.py
@@ -7,10 +7,10 @@
 import pytest
 
 from lycheetide.board import Job, Part
-from standins.http import LOOPBACK
+from standins.http import LOOPBACK, Answer, Reset
 from standins.local import find_port
 from standins.relayed import CUSTOMER, KEY, Relayed, make_config
-from standins.replica import make_event
+from standins.replica import SEAL, Replica, make_event
 
 pytestmark = pytest.mark.anyio
 
@@ -426,3 +426,36 @@
         with anyio.fail_after(0.9):
             answer = await fleet.look()
     assert answer.status_code == 504
+
+
+class Failing(Replica):
+    """A replica whose errors break off, by a script that it shares with others."""
+
+    def __init__(self, name, *, script):
+        super().__init__(name)
+        self.script = script
+
+    async def _run(self, request, stream, step, attempt):
+        if step != "fail-short":
+            return await super()._run(request, stream, step, attempt)
+        head = {"Lycheetide-Attempt-Id": attempt, "Lycheetide-Response-Seal": SEAL}
+        await stream.send(Answer(500, b"x" * 400, head).encode()[:-100])
+        raise Reset
+
+
+@pytest.mark.parametrize("first_step", ["break", "refuse"])
+async def test_an_error_that_breaks_off_is_a_failed_attempt(first_step):
+    """A replica's error that breaks off ends the request as the node's own fault.
+
+    A third replica could serve it.
+    """
+    config = make_config()
+    config["routes"][0]["attempts"] = 3
+    fleet = Relayed(replicas=0, config=config)
+    steps = [first_step, "fail-short"]
+    fleet.replicas += [Failing(f"r-{index}", script=steps) for index in range(3)]
+    async with fleet:
+        answer = await fleet.stream()
+        faults = fleet.relays[0].counters.counts["requests.fault"]
+    assert answer.content == WHOLE
+    assert faults == 0
