--- a/lycheetide/losses/_account.py
+++ b/lycheetide/losses/_account.py
@@ -105,7 +105,7 @@
         match event.message:
             case "A prompt is placed.":
                 self._place(event)
-            case "An attempt failed.":
+            case "An attempt failed." | "A silent stream is tried elsewhere as well.":
                 cause = CAUSES.get(event.fields.get("cause", ""), Cause.UNKNOWN)
                 self._find_open(event).failed.append(cause)
             case "A request ended.":
--- a/lycheetide/placement/_retries.py
+++ b/lycheetide/placement/_retries.py
@@ -35,8 +35,8 @@
         self._requests.append(now_s)
         self._drop(now_s)
 
-    def spend(self, nodes, *, now_s):
-        """Take one retry, if there is one left.
+    def has_left(self, nodes, *, now_s):
+        """Tell whether a retry is left.
 
         Parameters
         ----------
@@ -47,7 +47,11 @@
         """
         self._drop(now_s)
         allowed = self.ratio * len(self._requests) + self.extra / max(1, nodes)
-        if len(self._retries) + 1 > allowed * SAFETY:
+        return len(self._retries) + 1 <= allowed * SAFETY
+
+    def spend(self, nodes, *, now_s):
+        """Take one retry, if there is one left; parameters as of ``has_left``."""
+        if not self.has_left(nodes, now_s=now_s):
             return False
         self._retries.append(now_s)
         return True
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -137,9 +137,18 @@
     return caller_patience_s(call.route.target_latency_s, call.route.target_gap_s)
 
 
-async def choose(relay, call):
+async def choose(relay, call, *, wait_s):
     """Return where a call goes.
 
+    Parameters
+    ----------
+    relay : RelayState
+        This node.
+    call : Call
+        The call.
+    wait_s : float
+        How long it may look for a place, as ``find_wait_s`` tells.
+
     Raises
     ------
     Refusal
@@ -152,13 +161,13 @@
         if is_worthwhile(call, placement):
             return placement
         is_hopeless = not usable and not call.is_begun
-        if is_hopeless or read_clock() - begun_s >= find_wait_s(call):
+        if is_hopeless or read_clock() - begun_s >= wait_s:
             raise refuse_place(relay, call, placement, candidates)
         await anyio.sleep(WAIT_S)
 
 
 def find_wait_s(call):
-    """Return how long a call looks for a place.
+    """Return how long a call looks for a place, in seconds.
 
     Before it has begun that is a moment: a cold replica takes more soon, or memory
     becomes free. Afterwards its caller can't be told to come back, so it looks for as
--- a/lycheetide/relay/_plain.py
+++ b/lycheetide/relay/_plain.py
@@ -6,7 +6,7 @@
 from lycheetide.relay._evidence import note_failure
 from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal
 from lycheetide.relay._patience import make_answer_patience
-from lycheetide.relay._place import choose, make_refusal
+from lycheetide.relay._place import choose, find_wait_s, make_refusal
 from lycheetide.relay._retries import may_try_again
 from lycheetide.relay._state import read_clock
 
@@ -29,7 +29,10 @@
     """
     kept: tuple[Answer, bytes] | None = None
     while True:
-        placement = await (choose if kept is None else choose_or_none)(relay, call)
+        if kept is None:
+            placement = await choose(relay, call, wait_s=find_wait_s(call))
+        else:
+            placement = await choose_or_none(relay, call)
         if placement is None:
             break
         call.tried.add(placement.first.id)
@@ -58,7 +61,7 @@
 async def choose_or_none(relay, call):
     """Return where to try once more, or None; there is an answer to fall back on."""
     try:
-        return await choose(relay, call)
+        return await choose(relay, call, wait_s=find_wait_s(call))
     except Refusal:
         return None
 
--- a/lycheetide/relay/_retries.py
+++ b/lycheetide/relay/_retries.py
@@ -48,20 +48,24 @@
 
 
 def prepare_successor(relay, call, *, needs_s, now_s):
-    """Make sure that another replica can take a call over from the present one.
+    """Take the retry for an attempt that follows one that is still running.
 
     Returns
     -------
     Hindrance or None
-        Why none can. Where one can, its retry is taken from the budget.
+        Why no other replica can take the call over; then no retry is taken.
     """
+    # The running attempt may have begun its work, whether its head has come or not.
+    if not call.route.is_repeatable:
+        return Hindrance.NOT_REPEATABLE
     hindrance = find_limit(call, needs_s=needs_s, now_s=now_s)
     if hindrance is not None:
         return hindrance
+    if not has_retry(relay, call, now_s=now_s):
+        return Hindrance.NO_BUDGET
     if not has_place(relay, call, now_s=now_s):
         return Hindrance.NO_PLACE
-    if not take_retry(relay, call):
-        return Hindrance.NO_BUDGET
+    take_retry(relay, call)
     return None
 
 
@@ -76,6 +80,14 @@
     return None
 
 
+def has_retry(relay, call, *, now_s):
+    """Tell whether a call's next attempt is within the budget."""
+    if call.sent == 0 or call.has_retry:
+        return True
+    nodes = len(relay.living_nodes(now_s=now_s))
+    return relay.retries(call.service.name).has_left(nodes, now_s=now_s)
+
+
 def take_retry(relay, call):
     """Take a call's next retry from the budget, once; tell whether it has one.
 
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -1,15 +1,19 @@
 """Serve a stream: whole events, at once, and on from where a replica broke off."""
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
 
 from lycheetide.httpclient import ChannelBroken
 from lycheetide.placement import CALLER_WAITS_S, pass_s
 from lycheetide.relay._attempt import announced, make_failure, open_attempt
 from lycheetide.relay._events import EventSplitter
 from lycheetide.relay._evidence import note_failure
-from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal, StreamCut
+from lycheetide.relay._outcomes import AttemptFailed, Cause, StreamCut
 from lycheetide.relay._patience import AGAIN_S, SILENCE_S, make_stream_patience
-from lycheetide.relay._place import choose, make_refusal
+from lycheetide.relay._place import choose, find_wait_s, make_refusal
+from lycheetide.relay._race import Race
 from lycheetide.relay._retries import may_try_again
 from lycheetide.relay._state import read_clock
 from lycheetide.relay._tickets import NoMemory, hold_memory
@@ -26,8 +30,6 @@
         Id of the last event that was passed on.
     last_number : int or None
         The same as a number.
-    at_s : float
-        When something last came from the present replica.
     events : int
         Events passed on.
     passed_s : float
@@ -38,21 +40,42 @@
         Longest time between two of them.
     longest_pause_at_s : float
         When it ended, from when the request came.
-    job_id : str
-        The name of the present attempt.
-    is_read : bool
-        Whether the present replica has sent an event.
+    writing : anyio.Lock
+        Held while something is passed on, since attempts may run side by side.
     """
 
     last_id: bytes = b""
     last_number: int | None = None
-    at_s: float = 0.0
     events: int = 0
     passed_s: float = 0.0
     first_s: float = 0.0
     longest_pause_s: float = 0.0
     longest_pause_at_s: float = 0.0
-    job_id: str = ""
+    writing: anyio.Lock = field(default_factory=anyio.Lock)
+
+
+@dataclass
+class Listener:
+    """One attempt at a stream, as far as it has come.
+
+    Parameters
+    ----------
+    replica : str
+        Where it was sent.
+    job_id : str
+        Its name among the attempts of all nodes.
+    at_s : float
+        When something last came.
+    is_read : bool
+        Whether an event came.
+    lead : callable
+        Ends the attempts beside it.
+    """
+
+    replica: str
+    job_id: str
+    at_s: float
+    lead: Callable[[], None]
     is_read: bool = False
 
 
@@ -80,37 +103,60 @@
 
 async def _keep_trying(relay, call, reply, progress):
     """Send a call to replicas until its stream is complete."""
+
+    async def make_attempt(race, scope):
+        await run_attempt(relay, call, reply, progress, race, scope)
+
     while True:
-        try:
-            await run_attempt(relay, call, reply, progress)
+        failure = await Race(make_attempt).run()
+        if failure is None:
             return
-        except AttemptFailed as failure:
-            if not may_try_again(relay, call, needs_s=AGAIN_S):
-                if reply.is_started:
-                    raise StreamCut(str(failure)) from None
-                raise make_refusal(call, failure.cause, message=str(failure)) from None
+        if isinstance(failure, AttemptFailed) and may_try_again(
+            relay, call, needs_s=AGAIN_S
+        ):
             relay.counters.add(f"retries.{failure.cause}")
-        except Refusal as refusal:
-            if reply.is_started:
-                raise StreamCut(str(refusal)) from None
-            raise
+            continue
+        if reply.is_started:
+            raise StreamCut(str(failure))
+        if isinstance(failure, AttemptFailed):
+            raise make_refusal(call, failure.cause, message=str(failure))
+        raise failure
 
 
-async def run_attempt(relay, call, reply, progress):
+async def run_attempt(relay, call, reply, progress, race, scope):
     """Send a call to one replica and pass on what comes.
 
     Raises
     ------
     AttemptFailed
         If the answer isn't whole.
+    Refusal
+        If there is no place for it.
     """
+    # Beside another attempt there is no need to wait for a place: that one goes on.
+    wait_s = find_wait_s(call) if race.is_alone else 0.0
     try:
-        async with hold_memory(relay, call) as memory:
-            placement = memory.placement or await choose(relay, call)
+        async with hold_memory(relay, call, wait_s=wait_s) as memory:
+            placement = memory.placement or await choose(relay, call, wait_s=wait_s)
             call.tried.add(placement.first.id)
             try:
-                async with announced(relay, call, placement) as progress.job_id:
-                    await _pass_stream(relay, call, reply, progress, placement, memory)
+                async with announced(relay, call, placement) as job_id:
+                    listener = Listener(
+                        placement.first.id, job_id, read_clock(),
+                        lead=lambda: race.lead(scope),
+                    )  # fmt: skip
+                    more = make_stream_patience(relay, call, listener, race)
+                    log_placement(relay, call, placement, memory)
+                    await _pass_stream(
+                        relay,
+                        call,
+                        reply,
+                        progress,
+                        listener,
+                        placement,
+                        tickets=memory.tickets,
+                        more=more,
+                    )
             except AttemptFailed as failure:
                 note_failure(relay, call, placement, failure)
                 raise
@@ -118,31 +164,37 @@
         raise make_refusal(call, Cause.NO_MEMORY, message=str(error)) from None
 
 
-async def _pass_stream(relay, call, reply, progress, placement, memory):
+async def _pass_stream(
+    relay, call, reply, progress, listener, placement, *, tickets, more
+):
     """Pass one replica's events on."""
-    log_placement(relay, call, placement, memory)
-    progress.at_s = read_clock()
-    progress.is_read = False
     first_s = SILENCE_S + 2 * placement.expected_s
-    more = make_stream_patience(relay, call, progress, placement.first.id)
     async with open_attempt(
         relay, call, placement, head_s=first_s, more=more,
-        tickets=memory.tickets, resume_after=progress.last_id,
+        tickets=tickets, resume_after=progress.last_id,
     ) as attempt:  # fmt: skip
         call.may_have_run = True
         if attempt.answer.status != 200:
-            await _pass_other(relay, call, reply, attempt)
+            await _pass_other(relay, call, reply, attempt, listener)
             return
-        if not reply.is_started:
-            headers = relay.adapter.relayed_headers(attempt.answer.headers)
-            await reply.start(200, headers)
-            call.is_begun = True
+        await _pass_head(relay, call, reply, progress, attempt)
         await _pass_events(
-            relay, call, reply, progress, attempt, first_s=first_s, more=more
+            relay, call, reply, progress, listener, attempt, first_s=first_s, more=more
         )
+        listener.lead()
         await reply.end()
 
 
+async def _pass_head(relay, call, reply, progress, attempt):
+    """Pass the head of the first replica's answer on."""
+    async with progress.writing:
+        if reply.is_started:
+            return
+        headers = relay.adapter.relayed_headers(attempt.answer.headers)
+        call.is_begun = True
+        await reply.start(200, headers)
+
+
 def log_placement(relay, call, placement, memory):
     """Log where a prompt goes and what decided it."""
     relay.log.info(
@@ -169,7 +221,7 @@
     return holders + [helper.id for helper in placement.helpers]
 
 
-async def _pass_other(relay, call, reply, attempt):
+async def _pass_other(relay, call, reply, attempt, listener):
     """Pass on a replica's answer that is no stream."""
     try:
         body = await attempt.channel.read_all(timeout_s=CALLER_WAITS_S)
@@ -182,10 +234,13 @@
             may_have_run=True,
         )
     headers = relay.adapter.relayed_headers(attempt.answer.headers)
+    listener.lead()
     await reply.give(attempt.answer.status, headers, body)
 
 
-async def _pass_events(relay, call, reply, progress, attempt, *, first_s, more):
+async def _pass_events(
+    relay, call, reply, progress, listener, attempt, *, first_s, more
+):
     """Pass events on until the stream is complete.
 
     Raises
@@ -194,7 +249,6 @@
         If it breaks off or stays silent.
     """
     splitter = EventSplitter()
-    replica = attempt.placement.first.id
     engine = call.service.engine or ANY_ENGINE
     quiet_s = first_s
     channel = attempt.channel
@@ -205,19 +259,20 @@
             raise make_failure(broken, is_written=True) from broken
         if data is None:
             break
-        progress.at_s = read_clock()
-        relay.trust.hear(replica, now_s=progress.at_s)
-        if not progress.is_read:
-            progress.is_read = True
-            relay.board.note_read(relay.node, progress.job_id, now_s=progress.at_s)
+        listener.at_s = read_clock()
+        relay.trust.hear(listener.replica, now_s=listener.at_s)
+        if not listener.is_read:
+            listener.is_read = True
+            relay.board.note_read(relay.node, listener.job_id, now_s=listener.at_s)
         for event in splitter.split(data):
-            await _pass_event(relay, call, reply, progress, event)
+            async with progress.writing:
+                await _pass_event(relay, call, reply, progress, listener, event)
             quiet_s = SILENCE_S + pass_s(engine, 1)
     if splitter.rest.strip():
         raise AttemptFailed(Cause.BROKEN, "ended within an event", may_have_run=True)
 
 
-async def _pass_event(relay, call, reply, progress, event):
+async def _pass_event(relay, call, reply, progress, listener, event):
     """Pass one event on unless the caller has it.
 
     Raises
@@ -235,6 +290,7 @@
                 f"event {number} follows {progress.last_number}",
                 may_have_run=True,
             )
+    listener.lead()
     await reply.write(event.data)
     now_s = read_clock()
     if progress.events == 0:
--- a/lycheetide/relay/_tickets.py
+++ b/lycheetide/relay/_tickets.py
@@ -16,7 +16,6 @@
 from lycheetide.relay._place import (
     WAIT_S,
     find_place,
-    find_wait_s,
     is_worthwhile,
     list_candidates,
 )
@@ -55,9 +54,18 @@
 
 
 @asynccontextmanager
-async def hold_memory(relay, call):
+async def hold_memory(relay, call, *, wait_s):
     """Hold the memory that a call needs beyond one replica's.
 
+    Parameters
+    ----------
+    relay : RelayState
+        This node.
+    call : Call
+        The call.
+    wait_s : float
+        How long it may be tried.
+
     Yields
     ------
     Memory
@@ -71,7 +79,7 @@
     if not needs_sharing(engine, call.size.tokens):
         yield Memory()
         return
-    memory, held = await _reserve_all(relay, call)
+    memory, held = await _reserve_all(relay, call, wait_s)
     renewal = anyio.CancelScope()
     relay.tasks.start_soon(_renew, relay, held, renewal)
     try:
@@ -82,7 +90,7 @@
             relay.tasks.start_soon(_release, relay, address, ticket)
 
 
-async def _reserve_all(relay, call):
+async def _reserve_all(relay, call, wait_s):
     """Reserve all shares, or none and raise ``NoMemory``.
 
     Memory that others hold becomes free within seconds, so a few more tries are worth
@@ -90,7 +98,6 @@
     """
     without: set[str] = set()
     begun_s = read_clock()
-    wait_s = find_wait_s(call)
     while read_clock() - begun_s <= wait_s:
         open_now, _ = list_candidates(relay, call)
         candidates = [one for one in open_now if one.id not in without]
--- a/lycheetide/relay/tests/test_silence.py
+++ b/lycheetide/relay/tests/test_silence.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from standins.relayed import Relayed, make_config
+from standins.relayed import Relayed, make_patient_config
 from standins.replica import Replica, make_event
 
 pytestmark = pytest.mark.anyio
@@ -22,14 +22,6 @@
     return "asyncio"
 
 
-def make_patient_config():
-    """Return a configuration whose requests outlast two long pauses."""
-    config = make_config()
-    for route in config["routes"]:
-        route["timeoutMs"] = 10_000
-    return config
-
-
 def let_pause(fleet, step):
     """Let each replica's first answer pause."""
     for replica in fleet.replicas:
@@ -37,6 +29,14 @@
         replica.long_pause_s = PAUSE_S
 
 
+async def hear_of_all(fleet):
+    """Let peers tell the first relay that all replicas live."""
+    while True:
+        for replica in fleet.replicas:
+            fleet.relays[0].trust.hear_of(replica.name, now_s=time.monotonic())
+        await anyio.sleep(0.1)
+
+
 def forbid_retries(relay):
     """Leave a node no retry in its budget."""
     window = relay.retries("models")
@@ -81,18 +81,10 @@
     A node that nobody tells of the replica takes it for dead, and answers at once.
     """
     async with Relayed(replicas=1, config=make_patient_config()) as fleet:
-        (relay,) = fleet.relays
-        (replica,) = fleet.replicas
         let_pause(fleet, "late")
-
-        async def hear_of_it():
-            while True:
-                relay.trust.hear_of(replica.name, now_s=time.monotonic())
-                await anyio.sleep(0.1)
-
         async with anyio.create_task_group() as group:
             if is_heard:
-                group.start_soon(hear_of_it)
+                group.start_soon(hear_of_all, fleet)
             begun_s = time.monotonic()
             answer = await fleet.stream(deadline_ms=10_000)
             took_s = time.monotonic() - begun_s
--- /dev/null
+++ b/lycheetide/relay/tests/test_successors.py
@@ -0,0 +1,265 @@
+"""An answer that still comes isn't ended before another one is there."""
+
+import time
+
+import anyio
+import httpx
+import pytest
+
+from lycheetide.board import Part, Started, make_job
+from standins.http import Answer
+from standins.relayed import Relayed, make_config, make_patient_config
+from standins.replica import Replica, make_event
+
+pytestmark = pytest.mark.anyio
+
+EVENTS = 8
+WHOLE = b"".join(make_event(number) for number in range(1, EVENTS + 1))
+PAUSE_S = 1.6
+"""Longer than a node waits for an event before it tries another replica, and shorter
+than the 2 s after which callers give a stream up."""
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def set_up(replicas, steps, *, pause_s=PAUSE_S):
+    """Let each replica's first answers go by their steps."""
+    for replica in replicas:
+        replica.events, replica.script = EVENTS, list(steps)
+        replica.long_pause_s = pause_s
+
+
+def start_job(relay, replica, *, read_s=0.0, kv_tokens=0):
+    """Let a node believe that a replica works on something else for 20 s."""
+    now_s = time.monotonic()
+    started = Started(
+        relay.node, relay.next_job(), (Part(replica, read_s, kv_tokens, True),),
+        lasts_ms=20_000, due_in_ms=300, gap_ms=250, weight_hundredths=100,
+    )  # fmt: skip
+    relay.board.start(make_job(started, now_s=now_s), now_s=now_s)
+
+
+async def read_stream(fleet, **fields):
+    """Return a stream's bytes and its longest pause in s, cut or not."""
+    parts, longest_s = [], 0.0
+    try:
+        async with fleet.open_stream(deadline_ms=10_000, **fields) as answer:
+            last_s = time.monotonic()
+            async for part in answer.aiter_raw():
+                now_s = time.monotonic()
+                longest_s, last_s = max(longest_s, now_s - last_s), now_s
+                parts.append(part)
+    except httpx.RemoteProtocolError:
+        parts.append(b"(cut)")
+    return b"".join(parts), longest_s
+
+
+async def test_a_stream_that_may_not_be_repeated_stays_at_a_living_replica():
+    """A stream that may run once is ended before its head, and gets 502.
+
+    No other replica may follow: it was sent, and may not be repeated.
+    """
+    async with Relayed(config=make_patient_config()) as fleet:
+        (relay,) = fleet.relays
+        set_up(fleet.replicas, ["late"])
+
+        async def hear_of_all():
+            while True:
+                for replica in fleet.replicas:
+                    relay.trust.hear_of(replica.name, now_s=time.monotonic())
+                await anyio.sleep(0.1)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(hear_of_all)
+            answer = await fleet.stream(path="/stream-once/s", deadline_ms=10_000)
+            group.cancel_scope.cancel()
+        retries = len(relay.retries("models")._retries)
+    assert (answer.status_code, retries) == (200, 0)
+
+
+@pytest.mark.parametrize("fault", ["refuse", "other", "unreachable"])
+async def test_a_stream_goes_on_where_its_successor_takes_nothing(fault):
+    """A stream is cut since the replica that was to take it over doesn't take it.
+
+    The first one, which was only silent, would have gone on in time.
+    """
+    spare = Replica("r-spare", events=EVENTS)
+    async with Relayed(replicas=1, config=make_patient_config()) as fleet:
+        set_up(fleet.replicas, ["pause"])
+        spare.script = [fault]
+        async with spare.server.run():
+            entry = spare.entry()
+            if fault == "unreachable":
+                entry["address"] = "127.0.0.1:9"
+
+            async def add_spare():
+                await fleet.wait_for(fleet.runs)
+                await anyio.sleep(0.3)
+                fleet.store.put("keyed.servers", spare.name, entry)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(add_spare)
+                data, longest_s = await read_stream(fleet)
+    assert data == WHOLE
+    assert longest_s < 2.0
+
+
+@pytest.mark.parametrize("known_as", ["reading", "suspect"])
+async def test_a_stream_is_not_moved_to_a_replica_that_is_known_to_be_late(known_as):
+    """A stream leaves a silent replica for one that is known to be no better.
+
+    It reads for seconds, or is suspected itself. The caller waits 2 s; the first
+    replica would have gone on after 1.6 s.
+    """
+    async with Relayed(config=make_patient_config()) as fleet:
+        (relay,) = fleet.relays
+        first, second = fleet.replicas
+        set_up([first], ["pause"])
+        set_up([second], ["late"], pause_s=2.5)
+        if known_as == "reading":
+            start_job(relay, second.name, read_s=5.0)
+        else:
+            relay.trust.suspect(second.name, now_s=time.monotonic())
+        data, longest_s = await read_stream(fleet)
+    assert data == WHOLE
+    assert longest_s < 2.0
+
+
+async def test_streams_do_not_leave_together_for_one_place():
+    """Several streams leave a silent replica at once for memory that one can have.
+
+    All others are cut, though the first replica would have gone on.
+    """
+    spare = Replica("r-spare", events=EVENTS, pause_s=0.5)
+    results = []
+    async with (
+        spare.server.run(),
+        Relayed(replicas=1, config=make_patient_config()) as fleet,
+    ):
+        (relay,) = fleet.relays
+        set_up(fleet.replicas, ["pause"] * 8)
+
+        async def read():
+            results.append(await read_stream(fleet, tokens="1000,10000"))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(8):
+                group.start_soon(read)
+            await fleet.wait_for(lambda: len(fleet.runs()) == 8)
+            start_job(relay, spare.name, kv_tokens=85_000)
+            fleet.store.put("keyed.servers", spare.name, spare.entry())
+    assert [data for data, _ in results] == [WHOLE] * 8
+
+
+class Full(Replica):
+    """A replica that can be told to set no more memory aside."""
+
+    is_full = False
+
+    def _take_order(self, order):
+        is_new = order["id"] not in self.tickets
+        if self.is_full and is_new and order["operation"] == "reserve":
+            return Answer(409, b"{}")
+        return super()._take_order(order)
+
+
+async def test_a_shared_stream_stays_where_its_memory_is():
+    """A stream leaves a silent replica before memory is set aside at others."""
+    replicas = [Full(f"r-{index}") for index in range(5)]
+    fleet = Relayed(replicas=0, config=make_patient_config())
+    fleet.replicas += replicas
+    async with fleet:
+        set_up(fleet.replicas, ["pause"])
+
+        async def fill():
+            await fleet.wait_for(fleet.runs)
+            for replica in replicas:
+                replica.is_full = True
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(fill)
+            data, _ = await read_stream(fleet, tokens="130000,200")
+    assert data == WHOLE
+
+
+async def test_a_stream_that_has_begun_asks_a_full_replica_again():
+    """A stream is cut since the only other replica was full for a moment.
+
+    It never ran there, and the route allows one more attempt.
+    """
+    async with Relayed(config=make_patient_config(attempts=3)) as fleet:
+        steps = ["break", "refuse"]
+        for replica in fleet.replicas:
+            replica.events, replica.script = EVENTS, steps
+        data, _ = await read_stream(fleet)
+    assert data == WHOLE
+
+
+async def test_a_stream_that_stays_ends_at_its_time_limit():
+    """A stream that stays at a silent replica is held beyond its time limit."""
+    async with Relayed(replicas=1, config=make_patient_config()) as fleet:
+        set_up(fleet.replicas, ["stall"])
+        begun_s = time.monotonic()
+        with pytest.raises(httpx.RemoteProtocolError):
+            await fleet.stream(deadline_ms=3_000)
+        took_s = time.monotonic() - begun_s
+    assert 2.5 < took_s < 3.2
+
+
+async def test_a_replica_stops_when_the_caller_of_a_silent_stream_leaves():
+    """A replica works on for a caller that left while the node stayed with it."""
+    async with Relayed(replicas=1, config=make_patient_config()) as fleet:
+        set_up(fleet.replicas, ["stall"])
+        (replica,) = fleet.replicas
+        async with fleet.open_stream(deadline_ms=10_000) as answer:
+            assert answer.status_code == 200
+            await anyio.sleep(2.0)
+        left_s = time.monotonic()
+        await fleet.wait_for(lambda: replica.cancelled_s)
+        assert replica.cancelled_s[0] - left_s < 0.3
+
+
+async def test_a_caller_that_leaves_while_its_stream_looks_for_a_place_is_let_go():
+    """A stream whose caller left while it looked for a place reaches a replica."""
+    spare = Replica("r-spare", events=EVENTS)
+    async with (
+        spare.server.run(),
+        Relayed(replicas=1, config=make_patient_config()) as fleet,
+    ):
+        set_up(fleet.replicas, ["break"])
+        async with fleet.open_stream(deadline_ms=10_000) as answer:
+            assert answer.status_code == 200
+            await anyio.sleep(0.5)
+        await anyio.sleep(0.2)
+        fleet.store.put("keyed.servers", spare.name, spare.entry())
+        await anyio.sleep(1.5)
+        assert spare.seen == []
+
+
+@pytest.mark.parametrize("replicas", [1, 2])
+async def test_a_stream_outlasts_a_configuration_that_takes_its_route_away(replicas):
+    """A stream is cut as its route, its customer's key and its service are removed."""
+    async with Relayed(replicas=replicas, config=make_patient_config()) as fleet:
+        (relay,) = fleet.relays
+        set_up(fleet.replicas, ["pause"])
+
+        async def configure():
+            await fleet.wait_for(fleet.runs)
+            changed = make_config(version=2)
+            changed["routes"] = [
+                route | {"service": "others"} for route in changed["routes"][2:]
+            ]
+            changed["services"] = [
+                service | {"name": "others"} for service in changed["services"]
+            ]
+            changed["tenants"] = [{"name": "another", "apiKeys": ["another"]}]
+            fleet.store.put("keyed.op", "config", changed)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(configure)
+            data, _ = await read_stream(fleet)
+        assert relay.table.routing.version == 2
+    assert data == WHOLE
--- a/standins/relayed.py
+++ b/standins/relayed.py
@@ -55,6 +55,22 @@
     } | changes  # fmt: skip
 
 
+def make_patient_config(attempts=2):
+    """Return a configuration whose requests outlast two long pauses.
+
+    Parameters
+    ----------
+    attempts : int
+        Replicas that a request may be sent to, where it may be repeated at all.
+    """
+    config = make_config()
+    for route in config["routes"]:
+        route["timeoutMs"] = 10_000
+        if route["kind"] != "non_idempotent":
+            route["attempts"] = attempts
+    return config
+
+
 class Relayed:
     """A small deployment; use as an asynchronous context.
 
