--- a/lycheetide/relay/_patience.py
+++ b/lycheetide/relay/_patience.py
@@ -80,8 +80,8 @@
 def make_answer_patience(relay, call, replica, *, needs_s):
     """Return a function that tells how much longer a short answer is waited for.
 
-    Another replica is asked where one can be. Where none can, this one is waited for
-    until the caller's time is up.
+    Another replica is asked where one can be. Where none can, a living one is waited
+    for until the caller's time is up.
 
     Parameters
     ----------
@@ -103,8 +103,9 @@
 
     def more():
         now_s = read_clock()
+        is_alive = find_alive_s(relay, replica, now_s=now_s) > 0
         hindrance = prepare_successor(relay, call, needs_s=needs_s, now_s=now_s)
-        if hindrance is None:
+        if hindrance is None or not is_alive:
             return 0.0
         note_stay(hindrance)
         return LOOK_AGAIN_S
