--- a/lycheetide/placement/_spread.py
+++ b/lycheetide/placement/_spread.py
@@ -159,6 +159,8 @@
     -------
     Placement or None
     """
+    if not candidates:
+        return None
     wanted = Wanted(
         size,
         read_s(engine, size.prompt_tokens),
--- a/lycheetide/placement/tests/test_choose.py
+++ b/lycheetide/placement/tests/test_choose.py
@@ -255,6 +255,12 @@
     assert read_s(ENGINE, 5_000) < 0.03
 
 
+@pytest.mark.parametrize("tokens", [1_000, 50_000, 600_000])
+def test_no_prompt_finds_a_place_where_no_replica_takes_work(tokens):
+    """All are at their cold limits, or have left."""
+    assert choose_prompt(ENGINE, Size(tokens, 300), [], target_s=2.0) is None
+
+
 def test_no_prompt_goes_where_its_memory_is_missing():
     """Placed all the same, it would be preempted and read again."""
     replicas = make_replicas(2, w0={"kv_tokens": 200_000}, w1={"kv_tokens": 90_000})
--- a/lycheetide/relay/tests/test_knowledge.py
+++ b/lycheetide/relay/tests/test_knowledge.py
@@ -367,6 +367,24 @@
     assert fleet.runs() == []
 
 
+@pytest.mark.parametrize("tokens", ["50000,300", "210000,300"])
+async def test_a_long_prompt_that_no_replica_takes_is_told_to_come_back(tokens):
+    """All replicas leave; a caller that is told 500 does not know whether it ran."""
+    async with Relayed() as fleet:
+        for replica in fleet.replicas:
+            entry = replica.entry(state="draining", seq=2)
+            fleet.store.put("keyed.servers", replica.name, entry)
+        await fleet.wait_for(
+            lambda: all(
+                one.entry.is_draining
+                for one in fleet.relays[0].replicas.replicas.values()
+            )
+        )
+        answer = await fleet.stream(tokens=tokens)
+    assert answer.status_code == 503
+    assert answer.headers["retry-after"]
+
+
 async def test_a_planned_stop_cuts_no_request():
     """A node is told to stop while streams run and callers go on asking."""
     async with Relayed(relays=2, stop_notice_s=0.5) as fleet:
