--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -51,6 +51,9 @@
         reads = must_read(relay, now_s=now_s)
         if reads:
             await read_once(relay, store, "registry", wait_s=0.0)
+        if relay.registry.failures and relay.registry.offset < 0:
+            # A failed read has paused already, and without replicas nobody is served.
+            continue
         pause_s = relay.settings.registry_interval_s
         await anyio.sleep(pause_s if reads else pause_s / 2)
 
--- a/lycheetide/relay/tests/test_knowledge.py
+++ b/lycheetide/relay/tests/test_knowledge.py
@@ -237,6 +237,22 @@
         assert (await fleet.look(relay=1)).status_code == 200
 
 
+async def test_a_node_that_starts_in_an_outage_lists_the_replicas_soon_after_it():
+    """All nodes were killed in an outage, so there is no peer that knows them.
+
+    The node has a configuration, and refuses all callers until it knows the replicas.
+    """
+    async with Relayed(relays=0) as fleet:
+        fleet.store.down = "busy"
+        relay = await fleet.start_relay(wait=False)
+        relay.settings = replace(relay.settings, registry_interval_s=3.0)
+        await fleet.wait_for(lambda: relay.registry.failures >= 1)
+        await anyio.sleep(0.6)
+        fleet.store.down = ""
+        took_s = await fleet.wait_for(lambda: relay.replicas.replicas)
+    assert took_s < 1.0
+
+
 async def test_a_node_that_knows_nothing_is_not_ready_and_says_not_run():
     async with Relayed() as fleet:
         fleet.store.down = "busy"
