--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from soak.run import FAULTS, FAULTS_S, play
+from soak.run import FAULTS, FAULTS_S, QUIETS, play
 
 SHOWN = 12
 
@@ -17,6 +17,7 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
     parser.add_argument("--seconds", type=float, default=FAULTS_S)
     parser.add_argument("--faults", type=int, default=FAULTS)
+    parser.add_argument("--quiets", type=int, default=QUIETS)
     parser.add_argument("--nodes", type=int, default=4)
     args = parser.parse_args()
     first = int(time.time()) if args.first is None else args.first
@@ -39,7 +40,13 @@
 
 async def play_one(seed, args):
     """Play one seed."""
-    return await play(seed, seconds=args.seconds, count=args.faults, nodes=args.nodes)
+    return await play(
+        seed,
+        seconds=args.seconds,
+        count=args.faults,
+        nodes=args.nodes,
+        quiets=args.quiets,
+    )
 
 
 if __name__ == "__main__":
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -28,6 +28,8 @@
 STOP_S = 5.0
 STOP_NOTICE_S = 1.5
 START_S = 20.0
+PATIENT_MS = 6_000
+"""Time limit of a route whose streams outlast two silences."""
 SECOND_KEY = "key-that-is-taken-away"
 
 ENGINE_SPEED = {"read_per_s": 2e6, "pairs_per_m": 0.01}
@@ -86,9 +88,12 @@
     ----------
     nodes, replicas : int
         How many.
+    stop_s : float
+        How long a planned stop may take.
     """
 
-    def __init__(self, *, nodes=4, replicas=6):
+    def __init__(self, *, nodes=4, replicas=6, stop_s=STOP_S):
+        self.stop_s = stop_s
         self.folder = Path(tempfile.mkdtemp(prefix="lycheetide-soak-"))
         self.store = Store()
         self.store_proxy = Proxy()
@@ -168,9 +173,11 @@
         service["coldPerS"] = COLD_PER_S
         service["engine"] = service["engine"] | ENGINE_SPEED
         (streams,) = (one for one in config["routes"] if one["name"] == "stream")
-        config["routes"].append(
-            streams | {"name": "huge", "pathPrefix": "/huge/", "goalLatencyMs": 2_500}
-        )
+        config["routes"] += [
+            streams | {"name": "huge", "pathPrefix": "/huge/", "goalLatencyMs": 2_500},
+            streams
+            | {"name": "patient", "pathPrefix": "/patient/", "timeoutMs": PATIENT_MS},
+        ]
         self.version += 3
         self.store.put("keyed.op", "config", config)
 
@@ -211,7 +218,8 @@
             SETTINGS.format(
                 name=node.name, domain=node.domain, caller=node.caller,
                 readiness=node.readiness, peer=node.peer,
-                store=self.store_proxy.address, stop_s=STOP_S, notice_s=STOP_NOTICE_S,
+                store=self.store_proxy.address, stop_s=self.stop_s,
+                notice_s=STOP_NOTICE_S,
             )
         )  # fmt: skip
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -209,6 +209,27 @@
         now_s = time.monotonic()
         replica.cold.append((now_s, now_s + COLD_S))
 
+    async def _quiet_one(self, fault):
+        """Let a replica say nothing for a while and go on."""
+        return await self._quiet([self._replica(fault)[0]], fault)
+
+    async def _quiet_some(self, fault):
+        """Let some replicas say nothing at one time."""
+        replicas = self.deployment.replicas
+        some = [one for at, one in enumerate(replicas) if (fault.target >> at) & 1]
+        return await self._quiet(some, fault)
+
+    async def _quiet_all(self, fault):
+        """Let all replicas say nothing at one time."""
+        return await self._quiet(self.deployment.replicas, fault)
+
+    async def _quiet(self, replicas, fault):
+        """Let replicas say nothing; they are sound, so nothing is disturbed."""
+        for replica in replicas:
+            replica.be_quiet(fault.lasts_s)
+        await anyio.sleep(fault.lasts_s)
+        return []
+
     async def _drain(self, fault):
         """Let a replica leave, and come back as another start."""
         deployment = self.deployment
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -2,10 +2,14 @@
 
 import time
 
+import anyio
+
 from standins.http import Answer
 from standins.replica import Replica
 
+EVENTS = 6
 LONG_EVENTS = 100
+PATIENT_EVENTS = 20
 EVENT_S = 0.1
 """Between two events; a real engine's passes take 50 ms and more. With streams much
 shorter than real ones, packing takes a replica over its cold limit."""
@@ -21,15 +25,18 @@
         Time, attempt id and credential's customer of each request.
     cold : list of (float, float)
         When it was cold.
+    quiet : list of (float, float)
+        When it said nothing.
     ends : dict of str to float
         When its work on each attempt ended.
     """
 
-    def __init__(self, name, *, events=6, pause_s=EVENT_S):
+    def __init__(self, name, *, events=EVENTS, pause_s=EVENT_S):
         super().__init__(name, events=events, pause_s=pause_s)
         self.signs = True
         self.arrivals = []
         self.cold = []
+        self.quiet = []
         self.lapses_s = {}
         self.ends = {}
         self.kv_tokens = 100_000
@@ -56,8 +63,24 @@
         finally:
             self.ends[attempt] = time.monotonic()
 
+    def be_quiet(self, seconds):
+        """Say nothing for a while, as an engine that reads a huge prompt."""
+        now_s = time.monotonic()
+        self.quiet.append((now_s, now_s + seconds))
+
+    async def wait_to_speak(self):
+        """Wait until it says something again."""
+        while True:
+            now_s = time.monotonic()
+            ends_s = [to_s for _, to_s in self.quiet if to_s > now_s]
+            if not ends_s:
+                return
+            await anyio.sleep(max(ends_s) - now_s)
+
     def count_events(self, request):
         """Return how many events a stream has; more where its caller will leave."""
+        if "patient" in request.target:
+            return PATIENT_EVENTS
         return LONG_EVENTS if "long" in request.target else self.events
 
     def _take_order(self, order):
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,14 +6,15 @@
 
 import anyio
 
-from soak.callers import CALLERS, call_for_ever
-from soak.deployment import Deployment
+from soak.callers import CALLERS, KINDS, PATIENT_KINDS, call_for_ever
+from soak.deployment import PATIENT_MS, STOP_NOTICE_S, STOP_S, Deployment
 from soak.faults import Faults
 from soak.judge import Record, find_broken
-from soak.plan import draw_faults
+from soak.plan import draw_faults, draw_quiets
 
 FAULTS_S = 10.0
 FAULTS = 14
+QUIETS = 6
 RECOVERY_S = 6.0
 """From the last fault until all has to be served again."""
 CALM_S = 3.0
@@ -47,16 +48,37 @@
     folder: str
 
 
-async def play(seed, *, seconds=FAULTS_S, count=FAULTS, nodes=4):
-    """Play one run and judge it."""
+async def play(seed, *, seconds=FAULTS_S, count=FAULTS, nodes=4, quiets=0):
+    """Play one run and judge it.
+
+    Parameters
+    ----------
+    seed : int
+        Decides the faults, and what callers do.
+    seconds : float
+        Faults begin within this time.
+    count : int
+        About how many.
+    nodes : int
+        How many.
+    quiets : int
+        About how often replicas say nothing for a while, beside the other faults.
+    """
     plan = list(draw_faults(seed, seconds=seconds, count=count))
+    kinds, stop_s = KINDS, STOP_S
+    if quiets:
+        plan += draw_quiets(seed, seconds=seconds, count=quiets)
+        plan.sort(key=lambda fault: fault.at_s)
+        kinds, stop_s = PATIENT_KINDS, STOP_NOTICE_S + PATIENT_MS / 1e3 + 0.5
     attempts: list = []
-    async with Deployment(nodes=nodes) as deployment:
+    async with Deployment(nodes=nodes, stop_s=stop_s) as deployment:
         faults = Faults(deployment)
         async with anyio.create_task_group() as callers:
             for name in range(CALLERS):
                 luck = random.Random(f"{seed}/{name}")
-                callers.start_soon(call_for_ever, deployment, attempts, luck, name)
+                callers.start_soon(
+                    call_for_ever, deployment, attempts, luck, name, kinds
+                )
             await _carry_out(faults, plan)
             await anyio.sleep(RECOVERY_S)
             calm_s = time.monotonic()
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -7,7 +7,7 @@
 from soak.callers import Attempt
 from soak.faults import Disturbance
 from soak.judge import EVENTS, Record, find_broken
-from soak.plan import draw_faults
+from soak.plan import QUIET_S, draw_faults, draw_quiets
 from soak.replicas import SoakReplica
 from standins.replica import SEAL
 
@@ -91,6 +91,20 @@
     assert rules(make_record(attempt, replica=replica, disturbances=hit)) == set()
 
 
+def make_cut(kind="stream", **fields):
+    cut = {"body": make_stream(numbers=(1, 2)), "is_whole": False,
+           "ended_s": 11.6, "silent_s": 1.2}  # fmt: skip
+    return make_attempt(kind, **(cut | fields))
+
+
+def test_a_caller_that_gave_up_before_an_answer_must_have_met_a_delay():
+    attempt = make_cut(status=0, headers=(), body=b"", gave_up=True, silent_s=2.0)
+    replica = make_replica((10.1, "a1"))
+    assert rules(make_record(attempt, replica=replica)) == {"LOST"}
+    replica.quiet = [(10.0, 11.7)]
+    assert rules(make_record(attempt, replica=replica)) == set()
+
+
 @pytest.mark.parametrize(
     ("noted", "rule"),
     [
@@ -136,3 +150,14 @@
     plans = [list(draw_faults(5, seconds=9.0, count=20)) for _ in range(2)]
     assert plans[0] == plans[1]
     assert plans[0] != list(draw_faults(6, seconds=9.0, count=20))
+
+
+def test_silences_leave_the_other_faults_of_a_seed_as_they_were():
+    plan = list(draw_faults(13, seconds=10.0, count=14))
+    begins = [(round(one.at_s, 3), one.kind) for one in plan[:3]]
+    assert begins == [(0.144, "revoke"), (0.569, "revoke"), (1.302, "revoke")]
+    quiets = draw_quiets(13, seconds=10.0, count=6)
+    assert quiets == draw_quiets(13, seconds=10.0, count=6)
+    silences = [one for one in quiets if one.kind != "configure"]
+    assert len(silences) >= 6
+    assert all(QUIET_S[0] <= one.lasts_s <= QUIET_S[1] for one in silences)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -131,6 +131,7 @@
 
     async def _answer_plainly(self, stream, head, step, attempt):
         """Answer with a short body, or a part of one."""
+        await self.wait_to_speak()
         answer = Answer(200, f"{self.name} answers {attempt}".encode(), head)
         if step == "break":
             await stream.send(Answer(200, b"x" * 400, head).encode()[:-100])
@@ -153,13 +154,14 @@
         """Write a stream of events, or a part of one."""
         lines = [f"{name}: {value}" for name, value in head.items()]
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        text = "HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n"
         start = int(request.headers.get("last-event-id", 0))
         signature = f" {head['Lycheetide-Attempt-Id']}" if self.signs else ""
-        await stream.send(("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines)).encode())
-        await stream.send(b"\r\n\r\n")
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._watch, stream)
+                await self.wait_to_speak()
+                await stream.send(text.encode())
                 for number in range(start + 1, self.count_events(request) + 1):
                     if step == "break" and number == start + 3:
                         await stream.send(b"20\r\nid: 3\nda")
@@ -168,6 +170,7 @@
                         await anyio.sleep_forever()
                     if step == "pause" and number == start + 3:
                         await anyio.sleep(self.long_pause_s)
+                    await self.wait_to_speak()
                     await stream.send(chunk(make_event(number, signature)))
                     await anyio.sleep(self.pause_s)
                 group.cancel_scope.cancel()
@@ -176,6 +179,9 @@
         await stream.send(b"0\r\n\r\n")
         return KEEP
 
+    async def wait_to_speak(self):
+        """Wait before it writes; not at all unless a subclass says so."""
+
     def count_events(self, request):
         """Return how many events the stream of a request has."""
         return self.events
