--- a/soak/judge.py
+++ b/soak/judge.py
@@ -13,6 +13,16 @@
 NOT_RUN = (408, 421, 429, 503)
 """Statuses that promise that nothing ran and nothing will."""
 ONCE = ("book", "once")
+GIVEN_UP = (502, 504)
+"""Statuses that a node answers with where an attempt failed that may have run."""
+LAST_MOMENT_S = 0.2
+"""So shortly before a limit another attempt is no longer worth it."""
+REFUSING = ("refuse", "crash", "reset")
+"""Faults by which a replica's connections fail at once."""
+HEARD_S = 0.7
+"""A replica that wrote something so lately counts as alive at all nodes."""
+CLOSING_S = 0.1
+"""A replica sees the end of a connection about so soon."""
 IN_TOUCH_S = 3.0
 """A node that was disturbed so lately may be late."""
 SLACK_S = 1.0
@@ -52,11 +62,12 @@
     own_exits: list
     calm_s: float
 
-    def is_disturbed(self, what, from_s, to_s):
+    def is_disturbed(self, what, from_s, to_s, *, kinds=None):
         """Tell whether something was disturbed at some moment of a span."""
         return any(
             one.what == what and one.from_s <= to_s and one.to_s >= from_s
             for one in self.faults.disturbances
+            if kinds is None or one.kind in kinds
         )
 
     def in_touch(self, attempt, replica, at_s):
@@ -70,7 +81,7 @@
     """Yield each broken promise as a line."""
     for check in (
         check_answers, check_runs, check_times, check_arrivals, check_left,
-        check_cold, check_lost, check_memory, check_recovery,
+        check_cold, check_lost, check_cut, check_memory, check_recovery,
     ):  # fmt: skip
         yield from check(record)
     for line in record.own_exits:
@@ -235,6 +246,80 @@
     )
 
 
+def check_cut(record):
+    """A node doesn't give up a stream whose replica is sound and only slow.
+
+    A prompt that several replicas hold needs all of them. A stream that hasn't begun
+    may be given up where nobody hears of its replica.
+    """
+    reached = find_reached(record)
+    for attempt in record.attempts:
+        if not _is_cut(attempt) or attempt.id not in reached:
+            continue
+        at_s, last = reached[attempt.id][-1]
+        needed = record.replicas if attempt.kind == "huge" else [last]
+        spans = [(f"node {attempt.node}", attempt.begun_s - IN_TOUCH_S)]
+        spans += [(f"replica {one.name}", at_s - SLACK_S) for one in needed]
+        if any(record.is_disturbed(what, since_s, attempt.ended_s)
+               for what, since_s in spans):  # fmt: skip
+            continue
+        if _went_on_in_vain(record, attempt, last):
+            continue
+        if attempt.status != 200 and not _is_heard(record, attempt, last):
+            continue
+        names = ", ".join(replica.name for _, replica in reached[attempt.id])
+        yield (
+            f"CUT {attempt.kind} {attempt.id} at {attempt.node}: status"
+            f" {attempt.status}, {len(_EVENT.findall(attempt.body))} events, after"
+            f" {attempt.ended_s - attempt.begun_s:.2f} s, {attempt.silent_s:.2f} s of"
+            f" silence, by {names}; {attempt.fault}"
+        )
+
+
+def _is_cut(attempt):
+    """Tell whether a node ended a stream before a limit of its caller's."""
+    patience_s = PATIENCE_S.get(attempt.kind)
+    if patience_s is None or attempt.gave_up:
+        return False
+    if attempt.silent_s > patience_s - LAST_MOMENT_S:
+        return False
+    took_s = attempt.ended_s - attempt.begun_s
+    if took_s > find_deadline_s(attempt.kind) - LAST_MOMENT_S:
+        return False
+    is_broken_off = attempt.status == 200 and not attempt.is_whole
+    return is_broken_off or attempt.status in GIVEN_UP
+
+
+def _is_heard(record, attempt, replica):
+    """Tell whether all nodes must have known at an attempt's end that a replica lives.
+
+    Each tells the others which replicas it hears.
+    """
+    since_s = attempt.ended_s - HEARD_S
+    nodes = {one.what for one in record.faults.disturbances if "node " in one.what}
+    if any(
+        record.is_disturbed(node, since_s - SLACK_S, attempt.ended_s) for node in nodes
+    ):
+        return False
+    return any(since_s <= at_s <= attempt.ended_s for at_s in replica.spoken_s)
+
+
+def _went_on_in_vain(record, attempt, last):
+    """Tell whether an attempt may have met a fault on its way from its last replica."""
+    left_s = last.ends.get(attempt.id, attempt.ended_s) - CLOSING_S
+    is_at_once = attempt.ended_s - left_s <= LAST_MOMENT_S
+    return any(
+        record.is_disturbed(
+            f"replica {replica.name}",
+            left_s,
+            attempt.ended_s,
+            kinds=REFUSING if is_at_once else None,
+        )
+        for replica in record.replicas
+        if replica is not last
+    )
+
+
 def check_memory(record):
     """No memory is set aside after the last request."""
     for replica in record.replicas:
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -27,6 +27,8 @@
         When it was cold.
     quiet : list of (float, float)
         When it said nothing.
+    spoken_s : list of float
+        When it wrote.
     ends : dict of str to float
         When its work on each attempt ended.
     """
@@ -37,6 +39,7 @@
         self.arrivals = []
         self.cold = []
         self.quiet = []
+        self.spoken_s = []
         self.lapses_s = {}
         self.ends = {}
         self.kv_tokens = 100_000
@@ -74,6 +77,7 @@
             now_s = time.monotonic()
             ends_s = [to_s for _, to_s in self.quiet if to_s > now_s]
             if not ends_s:
+                self.spoken_s.append(now_s)
                 return
             await anyio.sleep(max(ends_s) - now_s)
 
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -30,20 +30,20 @@
     return Attempt(**(whole | fields))
 
 
-def make_record(*attempts, replica=None, own_exits=(), **noted):
+def make_record(*attempts, replica=None, replicas=(), own_exits=(), **noted):
     faults = SimpleNamespace(disturbances=[], drained=[], revoked=[], closed=[])
     for name, value in noted.items():
         setattr(faults, name, value)
-    replica = replica or SoakReplica("r-0")
-    return Record(list(attempts), [replica], faults, list(own_exits), calm_s=100.0)
+    replicas = list(replicas) or [replica or SoakReplica("r-0")]
+    return Record(list(attempts), replicas, faults, list(own_exits), calm_s=100.0)
 
 
 def rules(record):
     return {line.split()[0] for line in find_broken(record)}
 
 
-def make_replica(*arrivals, runs=()):
-    replica = SoakReplica("r-0")
+def make_replica(*arrivals, runs=(), name="r-0"):
+    replica = SoakReplica(name)
     replica.arrivals = [(at_s, attempt_id, "hule") for at_s, attempt_id in arrivals]
     replica.runs = list(runs)
     return replica
@@ -97,6 +97,124 @@
     return make_attempt(kind, **(cut | fields))
 
 
+def hit(what, from_s=9.0, to_s=10.5, kind="kill"):
+    return [Disturbance(what, kind, from_s, to_s)]
+
+
+@pytest.mark.parametrize(
+    "attempt",
+    [
+        make_cut(),
+        make_cut("once"),
+        make_cut("patient", ended_s=15.5),
+        make_cut("huge", ended_s=12.7, silent_s=2.4),
+        make_cut(body=b"", ended_s=11.2),
+    ],
+)
+@pytest.mark.parametrize(
+    "disturbances",
+    [
+        [],
+        hit("node entry-1"),
+        hit("replica r-1", to_s=12.0, kind="cut_up"),
+        hit("node entry-0", to_s=6.5),
+        hit("replica r-0", to_s=9.05),
+        hit("replica r-0", from_s=16.0, to_s=17.0),
+        hit("store"),
+    ],
+)
+def test_a_stream_that_is_cut_while_its_replica_is_sound_is_found(
+    attempt, disturbances
+):
+    replica = make_replica((10.1, "a1"))
+    record = make_record(attempt, replica=replica, disturbances=disturbances)
+    assert rules(record) == {"CUT"}
+
+
+@pytest.mark.parametrize(
+    ("attempt", "disturbances"),
+    [
+        (make_cut(), hit("node entry-0")),
+        (make_cut(), hit("node entry-0", from_s=11.5, to_s=11.7, kind="front_reset")),
+        (make_cut(), hit("replica r-0")),
+        (make_cut(), hit("replica r-0", from_s=11.5, to_s=12.0, kind="cut_down")),
+        (make_cut("huge"), hit("replica r-0", kind="sick")),
+        (make_cut(gave_up=True, ended_s=12.2, silent_s=2.0), []),
+        (make_cut(ended_s=12.2, silent_s=1.9), []),
+        (make_cut(ended_s=12.9), []),
+        (make_cut("patient", ended_s=15.9), []),
+        (make_cut("leave"), []),
+        (make_cut(body=b"", status=503, is_whole=True, headers=()), []),
+    ],
+)
+def test_a_stream_that_may_end_early_is_no_cut(attempt, disturbances):
+    replica = make_replica((10.1, "a1"))
+    record = make_record(attempt, replica=replica, disturbances=disturbances)
+    assert "CUT" not in rules(record)
+
+
+@pytest.mark.parametrize("status", [502, 504])
+@pytest.mark.parametrize(
+    ("spoken_s", "disturbances", "found"),
+    [
+        ([10.2, 11.2], [], {"CUT"}),
+        ([10.2], [], set()),
+        ([11.7], [], set()),
+        ([11.2], hit("node entry-1", to_s=11.0), set()),
+        ([11.2], hit("node entry-1", to_s=9.5), {"CUT"}),
+    ],
+)
+def test_a_stream_that_has_not_begun_is_cut_where_its_replica_is_heard(
+    status, spoken_s, disturbances, found
+):
+    replica = make_replica((10.1, "a1"))
+    replica.spoken_s = spoken_s
+    attempt = make_cut(body=b"", status=status, is_whole=True, headers=(), silent_s=0.0)
+    record = make_record(attempt, replica=replica, disturbances=disturbances)
+    assert rules(record) == found
+
+
+@pytest.mark.parametrize(("disturbed", "found"), [("r-0", {"CUT"}), ("r-1", set())])
+def test_a_stream_is_judged_by_the_replica_that_it_reached_last(disturbed, found):
+    replicas = [
+        make_replica((10.1, "a1")),
+        make_replica((10.4, "a1"), name="r-1"),
+    ]
+    record = make_record(
+        make_cut(), replicas=replicas, disturbances=hit(f"replica {disturbed}")
+    )
+    assert rules(record) == found
+
+
+@pytest.mark.parametrize(
+    ("kind", "left_s", "found"),
+    [
+        ("refuse", 11.55, set()),
+        ("crash", 11.55, set()),
+        ("cut_up", 11.55, {"CUT"}),
+        ("cut_up", 10.4, set()),
+    ],
+)
+def test_a_stream_that_left_its_replica_may_fail_on_the_way_to_another(
+    kind, left_s, found
+):
+    replicas = [make_replica((10.1, "a1")), make_replica(name="r-1")]
+    replicas[0].ends = {"a1": left_s}
+    disturbances = hit("replica r-1", to_s=12.0, kind=kind)
+    record = make_record(make_cut(), replicas=replicas, disturbances=disturbances)
+    assert rules(record) == found
+
+
+def test_a_huge_prompt_needs_all_replicas():
+    replicas = [make_replica((10.1, "a1")), make_replica(name="r-1")]
+    for kind, found in (("huge", set()), ("stream", {"CUT"})):
+        disturbances = hit("replica r-1", kind="cut_up")
+        record = make_record(
+            make_cut(kind), replicas=replicas, disturbances=disturbances
+        )
+        assert rules(record) == found
+
+
 def test_a_caller_that_gave_up_before_an_answer_must_have_met_a_delay():
     attempt = make_cut(status=0, headers=(), body=b"", gave_up=True, silent_s=2.0)
     replica = make_replica((10.1, "a1"))
