--- a/lycheetide/limits/_budget.py
+++ b/lycheetide/limits/_budget.py
@@ -55,6 +55,11 @@
         self.retries = {}
         self.denied = {}
 
+    def has_retry(self, customer, *, now_s):
+        """Tell whether a retry could be taken now; none is."""
+        _, allowed = self._spend(customer, now_s)
+        return allowed
+
     def spend_retry(self, customer, *, now_s):
         """Take one retry from the customer's own budget.
 
@@ -70,15 +75,18 @@
         bool
             False if the budget is spent; the request then ends with its error.
         """
+        bucket, allowed = self._spend(customer, now_s)
+        self._buckets[customer.name] = bucket
+        account = self.retries if allowed else self.denied
+        account[customer.name] = account.get(customer.name, 0) + 1
+        return allowed
+
+    def _spend(self, customer, now_s):
+        """Return the customer's bucket less one retry, and whether there was one."""
         start = Bucket(customer.retry_burst, now_s)
-        bucket = self._buckets.get(customer.name, start)
-        bucket, allowed = spend(
-            bucket,
+        return spend(
+            self._buckets.get(customer.name, start),
             rate_per_s=customer.retries_per_s,
             burst=customer.retry_burst,
             now_s=now_s,
         )
-        self._buckets[customer.name] = bucket
-        account = self.retries if allowed else self.denied
-        account[customer.name] = account.get(customer.name, 0) + 1
-        return allowed
--- a/lycheetide/limits/tests/test_budget.py
+++ b/lycheetide/limits/tests/test_budget.py
@@ -16,3 +16,14 @@
     assert budgets.retries == {"kestrel": 3, "parish": 1}
     assert budgets.denied == {"kestrel": 7}
     assert budgets.spend_retry(KESTREL, now_s=1.0)
+
+
+def test_a_look_at_the_budget_takes_nothing():
+    """A request that only waits for a successor would use up its house's retries."""
+    budgets = CustomerBudgets()
+    assert all(budgets.has_retry(KESTREL, now_s=0.0) for _ in range(10))
+    assert [budgets.spend_retry(KESTREL, now_s=0.0) for _ in range(4)] == [
+        True, True, True, False,
+    ]  # fmt: skip
+    assert not budgets.has_retry(KESTREL, now_s=0.0)
+    assert budgets.denied == {"kestrel": 1}
--- a/lycheetide/node/_prompts.py
+++ b/lycheetide/node/_prompts.py
@@ -10,6 +10,7 @@
 from lycheetide.metrics import get_log
 from lycheetide.node._permits import Wish, get_permit, give_back
 from lycheetide.node._state import draw_id, read_clock
+from lycheetide.node._successors import seek_successor
 from lycheetide.outcomes import (
     Failed,
     NotRun,
@@ -28,6 +29,7 @@
 from lycheetide.streams import ChunkVerdict, StreamCheck, check_chunk
 from lycheetide.upstreams import (
     EngineCall,
+    Silence,
     UpstreamBroke,
     UpstreamError,
     UpstreamRefused,
@@ -35,6 +37,7 @@
     UpstreamUnreached,
     release_holding,
     reserve_memory,
+    run_watched,
     send_segment,
     stream_answer,
 )
@@ -77,6 +80,11 @@
         The attempts sent.
     avoid : list of str
         Replicas on which an attempt broke.
+    silence : Silence
+        That of the present attempt's upstreams.
+    successor : (HeldPermit, float) or None
+        The permit for the next attempt, as ``get_permit`` returns it, where the
+        present one was ended for it.
     """
 
     admitted: Any
@@ -86,11 +94,18 @@
     check: StreamCheck = field(default_factory=lambda: StreamCheck(""))
     attempts: int = 0
     avoid: list[str] = field(default_factory=list)
+    silence: Silence = field(default_factory=Silence)
+    successor: Any = None
 
     def step(self, event):
         """Step the request's life."""
         self.life = CHART.step(self.life, event)
 
+    def take_successor(self):
+        """Return the permit for the next attempt, if there is one; it is taken once."""
+        successor, self.successor = self.successor, None
+        return successor
+
 
 @dataclass(frozen=True)
 class Token:
@@ -123,7 +138,11 @@
     run.step("admitted")
     try:
         with anyio.CancelScope(deadline=admitted.deadline_s) as scope:
-            await _attempt_until_done(node, run, emit)
+            try:
+                await _attempt_until_done(node, run, emit)
+            finally:
+                if run.successor is not None:
+                    give_back(node, run.successor[0])
         if scope.cancelled_caught:
             raise NotRun(
                 Reason.DEADLINE, "the deadline has passed", retry_after_s=RETRY_AFTER_S
@@ -141,8 +160,7 @@
 async def _attempt_until_done(node, run, emit):
     """Make attempts until one delivers the rest of the answer."""
     while True:
-        wish = _make_wish(run)
-        held, asked_s = await get_permit(node, wish)
+        held, asked_s = run.take_successor() or await get_permit(node, _make_wish(run))
         run.step("granted")
         replicas = held.permit.replicas
         broken = ()
@@ -161,7 +179,7 @@
                 give_back(node, held)
                 await anyio.sleep(STALE_PAUSE_S)
                 continue
-            await _send(node, run, held, emit)
+            await _send_watched(node, run, held, emit)
             return
         except UpstreamError as error:
             if not isinstance(error, UpstreamRefused):
@@ -189,14 +207,7 @@
     """Decide on another attempt after ``error``; raise if there is none."""
     run.ever_started = run.ever_started or error.started_maybe
     run.attempts += 1
-    now_s = read_clock()
-    decision = decide_retry(
-        attempts=run.attempts,
-        started_maybe=error.started_maybe,
-        repeatable=True,
-        left_s=run.admitted.deadline_s - now_s,
-        spend=lambda: node.budgets.spend_retry(run.admitted.customer, now_s=now_s),
-    )
+    decision = _decide_retry(node, run, error)
     reason = _find_retry_reason(error)
     node.note(
         run.admitted.request_id, "An attempt broke.",
@@ -216,6 +227,20 @@
         run.step("broke")
 
 
+def _decide_retry(node, run, error):
+    """Decide on another attempt; one that has its permit is paid for already."""
+    if run.successor is not None:
+        return RetryDecision.RETRY
+    now_s = read_clock()
+    return decide_retry(
+        attempts=run.attempts,
+        started_maybe=error.started_maybe,
+        repeatable=True,
+        left_s=run.admitted.deadline_s - now_s,
+        spend=lambda: node.budgets.spend_retry(run.admitted.customer, now_s=now_s),
+    )
+
+
 def _find_retry_reason(error):
     """Return the counter of a retry after ``error``."""
     if isinstance(error, UpstreamRefused):
@@ -229,11 +254,22 @@
     """Return the reason that a caller is told after ``error``."""
     if isinstance(error, (UpstreamRefused, UpstreamUnreached)):
         return Reason.UPSTREAM_REFUSED
-    if isinstance(error, UpstreamSilent):
-        return Reason.UPSTREAM_SILENT
     return Reason.UPSTREAM_BROKE
 
 
+async def _send_watched(node, run, held, emit):
+    """Send one attempt; it ends in silence only when it has a successor."""
+    run.silence = Silence()
+
+    async def seek():
+        run.successor = await seek_successor(
+            node, _make_wish(run), held.permit.replicas, run.silence,
+            attempts=run.attempts + 1,
+        )  # fmt: skip
+
+    await run_watched(lambda: _send(node, run, held, emit), run.silence, seek)
+
+
 async def _send(node, run, held, emit):
     """Send one attempt and pass its checked answer on."""
     permit = held.permit
@@ -269,7 +305,9 @@
         text = parts[-1]
         await _reserve_all(node, run, permit, upstreams, holdings)
         holding_id = holdings[-1][1]
+        run.silence.begin(_allow_all_s(node, upstreams[:-1], parts[:-1]))
         segments = await _read_segments(node, run, upstreams, holdings, parts)
+        run.silence.end()
     return EngineCall(
         request_id=admitted.request_id,
         attempt_id=run.check.attempt_id,
@@ -297,6 +335,7 @@
             upstream,
             request_id=run.admitted.request_id,
             tokens=tokens,
+            silence=run.silence,
         )
         holdings.append((upstream, holding_id))
 
@@ -315,7 +354,6 @@
                 holding_id=holdings[index][1],
                 prompt=parts[index],
                 priority=run.admitted.request_class.priority,
-                timeout_s=_allow_s(node, upstream, parts[index]),
             )
         except UpstreamError as error:
             errors.append(error)
@@ -337,6 +375,12 @@
     return node.settings.silence_s + PREFILL_SLACK * read_s
 
 
+def _allow_all_s(node, upstreams, parts):
+    """Return how long the engines may read their segments."""
+    allowed = zip(upstreams, parts, strict=True)
+    return max(_allow_s(node, upstream, text) for upstream, text in allowed)
+
+
 async def _read_answer(node, run, upstream, call, holdings, emit):
     """Read the head's answer, check each chunk and emit its token."""
     admitted = run.admitted
@@ -358,6 +402,7 @@
         call,
         first_s=_allow_s(node, upstream, call.prompt),
         between_s=node.settings.silence_s,
+        silence=run.silence,
         on_accepted=on_accepted,
     )
     checked = check_chunks(node, run, chunks)
--- /dev/null
+++ b/lycheetide/node/tests/test_silence.py
@@ -0,0 +1,89 @@
+"""A silent upstream is left only where another one takes its request over."""
+
+import hashlib
+
+import pytest
+
+from lycheetide.fleet import Customer
+from standins.callers import ask_prompt
+from standins.local import TOKENS, LocalFleet, make_forge_works
+from standins.promises import find_broken
+
+SILENCE_S = 0.5
+STALL_S = 1.6
+"""Longer than an upstream may be silent where another one may take its request."""
+DEADLINE_S = 20.0
+CALLER = "kestrel"
+
+
+@pytest.fixture
+def make_fleet():
+    """Return a function that starts a fleet whose nodes lose patience quickly."""
+    fleets = []
+
+    def make(**sizes):
+        fleet = LocalFleet(settings={"upstreams": {"silence_s": SILENCE_S}})
+        fleets.append(fleet)
+        make_forge_works(fleet, nodes=1, **sizes)
+        fleet.wait_ready()
+        return fleet
+
+    yield make
+    for fleet in fleets:
+        fleet.__exit__()
+
+
+def forbid_retries(fleet):
+    """Leave the caller no retry in its budget."""
+    digest = hashlib.sha256(TOKENS[CALLER].encode()).hexdigest()
+    customer = Customer(CALLER, digest, retries_per_s=0.0, retry_burst=0.0)
+    fleet.publish([("customers", CALLER, customer)])
+    wait_in_force(fleet)
+
+
+def wait_in_force(fleet):
+    """Wait until the configuration that was published last is in force."""
+    fleet.wait_for(
+        lambda: all(
+            fleet.status(name)["config_version"] >= fleet.version
+            for name in fleet.nodes
+        )
+    )
+
+
+def ask_node(fleet, **fields):
+    """Ask the fleet's only node for a short answer."""
+    (node,) = fleet.nodes.values()
+    return ask_prompt(node, 1_000, max_tokens=8, deadline_s=DEADLINE_S, **fields)
+
+
+@pytest.mark.parametrize(("engines", "has_budget"), [(6, True), (2, False), (1, True)])
+def test_a_stream_that_may_go_nowhere_else_outlasts_a_silence(
+    make_fleet, engines, has_budget
+):
+    """A stream is cut while its engine is only silent and would have gone on.
+
+    Its attempts or its customer's retries are used up, or there is no other engine.
+    """
+    fleet = make_fleet(engines=engines, bookings=1)
+    if not has_budget:
+        forbid_retries(fleet)
+    for name in fleet.engines:
+        fleet.set_faults(name, stall_at=3, stall_s=STALL_S)
+    answer = ask_node(fleet)
+    assert (answer.outcome, answer.whole) == ("answered", True)
+    assert find_broken(fleet, [answer], deadline_s=DEADLINE_S) == []
+
+
+def test_a_stream_leaves_an_engine_that_is_silent_for_good(make_fleet):
+    """One of two engines takes requests and never answers them.
+
+    Callers wait in vain unless their requests move on to the other one.
+    """
+    fleet = make_fleet(engines=2, bookings=1)
+    fleet.set_faults("assistant-1", stall_at=3)
+    answers = [ask_node(fleet, seed=seed) for seed in range(4)]
+    starts = fleet.record("assistant-1")["starts"]
+    assert {answer.outcome for answer in answers} == {"answered"}
+    assert find_broken(fleet, answers, deadline_s=DEADLINE_S) == []
+    assert starts
--- a/lycheetide/outcomes/_reasons.py
+++ b/lycheetide/outcomes/_reasons.py
@@ -34,7 +34,6 @@
     LOG_UNAVAILABLE = "log_unavailable"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_BROKE = "upstream_broke"
-    UPSTREAM_SILENT = "upstream_silent"
     DEADLINE = "deadline"
     INTERNAL = "internal"
 
--- a/lycheetide/upstreams/__init__.py
+++ b/lycheetide/upstreams/__init__.py
@@ -18,11 +18,13 @@
     UpstreamUnreached,
 )
 from lycheetide.upstreams._service import ServiceAnswer, ServiceCall, call_service
+from lycheetide.upstreams._silence import Silence, run_watched
 
 __all__ = [
     "EngineCall",
     "ServiceAnswer",
     "ServiceCall",
+    "Silence",
     "UpstreamBroke",
     "UpstreamError",
     "UpstreamRefused",
@@ -34,6 +36,7 @@
     "make_http_client",
     "release_holding",
     "reserve_memory",
+    "run_watched",
     "send_segment",
     "stream_answer",
 ]
--- a/lycheetide/upstreams/_engine.py
+++ b/lycheetide/upstreams/_engine.py
@@ -11,6 +11,8 @@
 from lycheetide.upstreams._errors import UpstreamBroke
 
 CONTROL_S = 2.0
+UNLIMITED = httpx.Timeout(CONTROL_S, read=None, write=None)
+"""For calls whose silence their caller watches."""
 DATA = "data: "
 
 
@@ -50,14 +52,14 @@
     segments: tuple[str, ...] = ()
 
 
-async def _post(http, url, body, *, timeout_s=CONTROL_S):
+async def _post(http, url, body, *, timeout=CONTROL_S):
     """Send a small order and return the decoded answer."""
     with translate_errors():
         response = await http.post(
             url,
             content=msgspec.json.encode(body),
             headers={"content-type": "application/json"},
-            timeout=timeout_s,
+            timeout=timeout,
         )
     answer = _decode(response.content)
     check_started(response, answer)
@@ -112,22 +114,26 @@
     await _post(http, f"{upstream.url}/release", {"holding_id": holding_id})
 
 
-async def reserve_memory(http, upstream, *, request_id, tokens):
+async def reserve_memory(http, upstream, *, request_id, tokens, silence):
     """Reserve memory and return its holding id."""
     body = {"request_id": request_id, "tokens": tokens}
-    answer = await _post(http, f"{upstream.url}/reserve", body)
+    silence.begin(CONTROL_S)
+    answer = await _post(http, f"{upstream.url}/reserve", body, timeout=UNLIMITED)
+    silence.end()
     return answer["holding_id"]
 
 
-async def send_segment(http, upstream, *, holding_id, prompt, priority, timeout_s):
+async def send_segment(http, upstream, *, holding_id, prompt, priority):
     """Have one engine read its part of a spanning prompt; return the handle."""
     body = {"holding_id": holding_id, "prompt": prompt, "priority": priority}
     url = f"{upstream.url}/segment"
-    answer = await _post(http, url, body, timeout_s=timeout_s)
+    answer = await _post(http, url, body, timeout=UNLIMITED)
     return answer["handle"]
 
 
-async def stream_answer(http, upstream, call, *, first_s, between_s, on_accepted):
+async def stream_answer(
+    http, upstream, call, *, first_s, between_s, silence, on_accepted
+):
     """Send a prompt and yield the answer's chunks.
 
     Parameters
@@ -140,6 +146,8 @@
         What it is asked.
     first_s, between_s : float
         How long it may be silent before the first token and between tokens.
+    silence : Silence
+        Told of each wait.
     on_accepted : callable
         Called with the holding id when the engine has taken the request.
 
@@ -154,7 +162,10 @@
         By what may have happened.
     """
     body = msgspec.json.encode(call)
-    timeout = httpx.Timeout(first_s, connect=http.timeout.connect)
+    timeout = httpx.Timeout(
+        first_s, connect=http.timeout.connect, read=None, write=None
+    )
+    limit_s = first_s
     with translate_errors():
         request = http.build_request(
             "POST",
@@ -163,18 +174,20 @@
             headers={"content-type": "application/json"},
             timeout=timeout,
         )
+        silence.begin(limit_s)
         response = await http.send(request, stream=True)
+        silence.begin(limit_s)
         try:
             if response.status_code >= 400:
                 check_started(response, _decode(await response.aread()))
             on_accepted(response.headers.get("x-holding-id", ""))
-            # The library looks the limit up at each read, so this one holds from the
-            # first token on.
-            limits = request.extensions["timeout"]
             async for line in response.aiter_lines():
+                silence.end()
                 if line.startswith(DATA):
-                    limits["read"] = between_s
+                    limit_s = between_s
                     yield _parse(line)
+                silence.begin(limit_s)
+            silence.end()
         finally:
             await response.aclose()
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -195,7 +195,7 @@
                 if holding.cancelled:
                     return
                 if self.faults.get("stall_at") == seq:
-                    await anyio.sleep(3600)
+                    await anyio.sleep(self.faults.get("stall_s", 3600))
                 if self.faults.get("cut_at") == seq:
                     self.faults.pop("cut_at")
                     return
