--- a/lycheetide/node/_prompts.py
+++ b/lycheetide/node/_prompts.py
@@ -10,7 +10,13 @@
 from lycheetide.metrics import get_log
 from lycheetide.node._permits import Wish, get_permit, give_back
 from lycheetide.node._state import draw_id, read_clock
-from lycheetide.node._successors import seek_successor
+from lycheetide.node._successors import (
+    decide_next,
+    find_retry_reason,
+    give_back_successor,
+    seek_successor,
+    take_successor,
+)
 from lycheetide.outcomes import (
     Failed,
     NotRun,
@@ -22,7 +28,6 @@
     RetryDecision,
     check_dispatch,
     count_tokens,
-    decide_retry,
     make_prefix_key,
     split_prompt,
 )
@@ -33,7 +38,6 @@
     UpstreamBroke,
     UpstreamError,
     UpstreamRefused,
-    UpstreamSilent,
     UpstreamUnreached,
     release_holding,
     reserve_memory,
@@ -101,11 +105,6 @@
         """Step the request's life."""
         self.life = CHART.step(self.life, event)
 
-    def take_successor(self):
-        """Return the permit for the next attempt, if there is one; it is taken once."""
-        successor, self.successor = self.successor, None
-        return successor
-
 
 @dataclass(frozen=True)
 class Token:
@@ -141,8 +140,7 @@
             try:
                 await _attempt_until_done(node, run, emit)
             finally:
-                if run.successor is not None:
-                    give_back(node, run.successor[0])
+                give_back_successor(node, run)
         if scope.cancelled_caught:
             raise NotRun(
                 Reason.DEADLINE, "the deadline has passed", retry_after_s=RETRY_AFTER_S
@@ -160,7 +158,7 @@
 async def _attempt_until_done(node, run, emit):
     """Make attempts until one delivers the rest of the answer."""
     while True:
-        held, asked_s = run.take_successor() or await get_permit(node, _make_wish(run))
+        held, asked_s = take_successor(run) or await get_permit(node, _make_wish(run))
         run.step("granted")
         replicas = held.permit.replicas
         broken = ()
@@ -207,8 +205,8 @@
     """Decide on another attempt after ``error``; raise if there is none."""
     run.ever_started = run.ever_started or error.started_maybe
     run.attempts += 1
-    decision = _decide_retry(node, run, error)
-    reason = _find_retry_reason(error)
+    decision = decide_next(node, run, error)
+    reason = find_retry_reason(error)
     node.note(
         run.admitted.request_id, "An attempt broke.",
         reason=reason, cause=str(error), decision=decision, replicas=list(replicas),
@@ -227,29 +225,6 @@
         run.step("broke")
 
 
-def _decide_retry(node, run, error):
-    """Decide on another attempt; one that has its permit is paid for already."""
-    if run.successor is not None:
-        return RetryDecision.RETRY
-    now_s = read_clock()
-    return decide_retry(
-        attempts=run.attempts,
-        started_maybe=error.started_maybe,
-        repeatable=True,
-        left_s=run.admitted.deadline_s - now_s,
-        spend=lambda: node.budgets.spend_retry(run.admitted.customer, now_s=now_s),
-    )
-
-
-def _find_retry_reason(error):
-    """Return the counter of a retry after ``error``."""
-    if isinstance(error, UpstreamRefused):
-        return RetryReason.UPSTREAM_REFUSED
-    if isinstance(error, UpstreamSilent):
-        return RetryReason.UPSTREAM_SILENT
-    return RetryReason.UPSTREAM_BROKE
-
-
 def _find_reason(error):
     """Return the reason that a caller is told after ``error``."""
     if isinstance(error, (UpstreamRefused, UpstreamUnreached)):
--- a/lycheetide/node/_services.py
+++ b/lycheetide/node/_services.py
@@ -1,16 +1,28 @@
 """Serve idempotent calls of plain services."""
 
+from dataclasses import dataclass, field
+from typing import Any
+
 import anyio
 
 from lycheetide.node._permits import Wish, get_permit, give_back
 from lycheetide.node._state import read_clock
+from lycheetide.node._successors import (
+    decide_next,
+    find_retry_reason,
+    give_back_successor,
+    seek_successor,
+    take_successor,
+)
 from lycheetide.outcomes import Failed, NotRun, Reason, RetryReason
-from lycheetide.routing import RetryDecision, check_dispatch, decide_retry
+from lycheetide.routing import RetryDecision, check_dispatch
 from lycheetide.upstreams import (
     ServiceCall,
+    Silence,
     UpstreamError,
     UpstreamRefused,
     call_service,
+    run_watched,
 )
 
 RETRY_AFTER_S = 1.0
@@ -18,6 +30,38 @@
 STALE_PAUSE_S = 0.05
 
 
+@dataclass
+class LookupRun:
+    """How far one lookup has come.
+
+    Parameters
+    ----------
+    admitted : Admitted
+        The request.
+    operation : Operation
+        What is called.
+    body : bytes
+        The caller's body.
+    ever_started : bool
+        Whether some upstream may have begun it.
+    attempts : int
+        The attempts sent.
+    avoid : list of str
+        Replicas on which an attempt broke.
+    successor : (HeldPermit, float) or None
+        The permit for the next attempt, as ``get_permit`` returns it, where the
+        present one was ended for it.
+    """
+
+    admitted: Any
+    operation: Any
+    body: bytes
+    ever_started: bool = False
+    attempts: int = 0
+    avoid: list[str] = field(default_factory=list)
+    successor: Any = None
+
+
 async def serve_lookup(node, admitted, operation, body):
     """Serve a call that may be repeated.
 
@@ -42,61 +86,84 @@
     RequestError
         By what is known of the work.
     """
-    started = [False]
+    run = LookupRun(admitted, operation, body)
     with anyio.CancelScope(deadline=admitted.deadline_s):
         try:
-            return await _attempt_until_done(node, admitted, operation, body, started)
+            return await _attempt_until_done(node, run)
         except NotRun as error:
-            if not started[0]:
+            if not run.ever_started:
                 raise
             raise Failed(
                 error.reason, error.message, retry_after_s=error.retry_after_s
             ) from error
-    error_type = Failed if started[0] else NotRun
+        finally:
+            give_back_successor(node, run)
+    error_type = Failed if run.ever_started else NotRun
     raise error_type(
         Reason.DEADLINE, "the deadline has passed", retry_after_s=RETRY_AFTER_S
     )
 
 
-async def _attempt_until_done(node, admitted, operation, body, started):
+async def _attempt_until_done(node, run):
     """Make attempts until one is answered."""
-    attempts = 0
-    avoid: list[str] = []
     while True:
-        wish = Wish(
-            admitted, operation.service, CALL_TOKENS, CALL_TOKENS, avoid=tuple(avoid)
-        )
-        held, asked_s = await get_permit(node, wish)
-        name = held.permit.replicas[0]
-        broken: tuple[str, ...] = ()
+        held, asked_s = take_successor(run) or await get_permit(node, _make_wish(run))
+        replicas = held.permit.replicas
+        broken = ()
         try:
             if not may_send(node, held, asked_s):
                 node.counters.add_retry(RetryReason.PERMIT_STALE)
                 give_back(node, held)
                 await anyio.sleep(STALE_PAUSE_S)
                 continue
-            was_started = started[0]
-            started[0] = True
+            was_started = run.ever_started
+            run.ever_started = True
             try:
-                return await call_service(
-                    node.http,
-                    node.fleet.upstreams[name],
-                    ServiceCall(admitted.request_id, operation.name, body),
-                    timeout_s=node.settings.silence_s,
-                )
+                return await _send(node, run, replicas)
             except UpstreamError as error:
-                started[0] = was_started or error.started_maybe
+                run.ever_started = was_started or error.started_maybe
                 raise
         except UpstreamError as error:
-            attempts += 1
+            run.attempts += 1
             if not isinstance(error, UpstreamRefused):
-                broken = (name,)
-                avoid.append(name)
-            _check_retry(node, admitted, error, attempts, started)
+                broken = replicas
+                run.avoid.extend(replicas)
+            _check_retry(node, run, error)
         finally:
             give_back(node, held, broken=broken)
 
 
+def _make_wish(run):
+    """Return what the next attempt needs a permit for."""
+    return Wish(
+        run.admitted,
+        run.operation.service,
+        CALL_TOKENS,
+        CALL_TOKENS,
+        avoid=tuple(run.avoid),
+    )
+
+
+async def _send(node, run, replicas):
+    """Send one call; it ends in silence only when it has a successor."""
+    silence = Silence()
+    call = ServiceCall(run.admitted.request_id, run.operation.name, run.body)
+    upstream = node.fleet.upstreams[replicas[0]]
+
+    async def work():
+        silence.begin(node.settings.silence_s)
+        answer = await call_service(node.http, upstream, call, timeout_s=None)
+        silence.end()
+        return answer
+
+    async def seek():
+        run.successor = await seek_successor(
+            node, _make_wish(run), replicas, silence, attempts=run.attempts + 1
+        )
+
+    return await run_watched(work, silence, seek)
+
+
 def may_send(node, held, asked_s):
     """Look a last time whether a permit may be used."""
     now_s = read_clock()
@@ -110,22 +177,12 @@
     )
 
 
-def _check_retry(node, admitted, error, attempts, started):
+def _check_retry(node, run, error):
     """Raise the caller's error unless there is to be another attempt."""
-    now_s = read_clock()
-    decision = decide_retry(
-        attempts=attempts,
-        started_maybe=error.started_maybe,
-        repeatable=True,
-        left_s=admitted.deadline_s - now_s,
-        spend=lambda: node.budgets.spend_retry(admitted.customer, now_s=now_s),
-    )
-    if decision is RetryDecision.RETRY:
-        refused = isinstance(error, UpstreamRefused)
-        reason = RetryReason.UPSTREAM_REFUSED if refused else RetryReason.UPSTREAM_BROKE
-        node.counters.add_retry(reason)
+    if decide_next(node, run, error) is RetryDecision.RETRY:
+        node.counters.add_retry(find_retry_reason(error))
         return
-    error_type = Failed if started[0] else NotRun
+    error_type = Failed if run.ever_started else NotRun
     raise error_type(
         Reason.UPSTREAM_BROKE, str(error), retry_after_s=RETRY_AFTER_S, status=502
     ) from error
--- a/lycheetide/node/_successors.py
+++ b/lycheetide/node/_successors.py
@@ -7,8 +7,9 @@
 from lycheetide.fleet import takes_new_work
 from lycheetide.node._permits import get_permit, give_back
 from lycheetide.node._state import read_clock
-from lycheetide.outcomes import NotRun
+from lycheetide.outcomes import NotRun, RetryReason
 from lycheetide.routing import RetryDecision, decide_retry
+from lycheetide.upstreams import UpstreamRefused, UpstreamSilent
 
 SEEK_AGAIN_S = 0.5
 
@@ -88,3 +89,39 @@
         spend=lambda: spend(admitted.customer, now_s=now_s),
     )
     return decision is RetryDecision.RETRY
+
+
+def take_successor(run):
+    """Return the permit for a run's next attempt, if there is one, and forget it."""
+    successor, run.successor = run.successor, None
+    return successor
+
+
+def give_back_successor(node, run):
+    """End the permit of an attempt that is not to be made."""
+    successor = take_successor(run)
+    if successor is not None:
+        give_back(node, successor[0])
+
+
+def decide_next(node, run, error):
+    """Decide on another attempt; one that has its permit is paid for already."""
+    if run.successor is not None:
+        return RetryDecision.RETRY
+    now_s = read_clock()
+    return decide_retry(
+        attempts=run.attempts,
+        started_maybe=error.started_maybe,
+        repeatable=True,
+        left_s=run.admitted.deadline_s - now_s,
+        spend=lambda: node.budgets.spend_retry(run.admitted.customer, now_s=now_s),
+    )
+
+
+def find_retry_reason(error):
+    """Return the counter of a retry after ``error``."""
+    if isinstance(error, UpstreamRefused):
+        return RetryReason.UPSTREAM_REFUSED
+    if isinstance(error, UpstreamSilent):
+        return RetryReason.UPSTREAM_SILENT
+    return RetryReason.UPSTREAM_BROKE
--- a/lycheetide/node/tests/test_silence.py
+++ b/lycheetide/node/tests/test_silence.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lycheetide.fleet import Customer
-from standins.callers import ask_prompt
+from standins.callers import ask_prompt, post
 from standins.local import TOKENS, LocalFleet, make_forge_works
 from standins.promises import find_broken
 
@@ -87,3 +87,22 @@
     assert {answer.outcome for answer in answers} == {"answered"}
     assert find_broken(fleet, answers, deadline_s=DEADLINE_S) == []
     assert starts
+
+
+@pytest.mark.parametrize(("services", "has_budget"), [(3, True), (2, False), (1, True)])
+def test_a_lookup_that_may_go_nowhere_else_outlasts_a_silence(
+    make_fleet, services, has_budget
+):
+    """A lookup fails although its service answers, only later than usual.
+
+    Other replicas are as slow, or its customer's retries are used up, or there is none.
+    """
+    fleet = make_fleet(engines=1, bookings=services)
+    if not has_budget:
+        forbid_retries(fleet)
+    for name in fleet.services:
+        fleet.set_faults(name, work_s=STALL_S)
+    (node,) = fleet.nodes.values()
+    path = "/v1/services/booking/status"
+    answer = post(node, path, {}, deadline_s=DEADLINE_S)
+    assert answer.status == 200
--- a/lycheetide/upstreams/_service.py
+++ b/lycheetide/upstreams/_service.py
@@ -46,6 +46,17 @@
 async def call_service(http, upstream, call, *, timeout_s):
     """Send one call and return the answer.
 
+    Parameters
+    ----------
+    http : httpx.AsyncClient
+        The connections.
+    upstream : Upstream
+        The service.
+    call : ServiceCall
+        What it is asked.
+    timeout_s : float or None
+        How long it may be silent; None where the caller watches that.
+
     Raises
     ------
     UpstreamError
