--- a/lycheetide/node/_bookings.py
+++ b/lycheetide/node/_bookings.py
@@ -49,8 +49,10 @@
 from lycheetide.upstreams import (
     ServiceAnswer,
     ServiceCall,
+    Silence,
     UpstreamError,
     call_service,
+    run_watched,
 )
 
 CHART = load_chart("booking")
@@ -387,7 +389,11 @@
 
 
 async def _send(node, run, held, operation, body, fencing_number):
-    """Send the call; its answer is waited for beyond the caller's deadline."""
+    """Send the call; a silent one ends only when nobody waits for it.
+
+    No other may follow it, so ending it would only lose its answer, and leave the key
+    unknown.
+    """
     name = held.permit.replicas[0]
     node.note(
         run.admitted.request_id, "The call was sent.",
@@ -396,12 +402,20 @@
     call = ServiceCall(
         run.admitted.request_id, operation.name, body, run.key.text, fencing_number
     )
-    answer = await call_service(
-        node.http,
-        node.fleet.upstreams[name],
-        call,
-        timeout_s=node.settings.silence_s,
-    )
+    upstream = node.fleet.upstreams[name]
+    silence = Silence()
+
+    async def work():
+        silence.begin(node.settings.silence_s)
+        answer = await call_service(node.http, upstream, call, timeout_s=None)
+        silence.end()
+        return answer
+
+    async def wait_unasked():
+        while run.askers or not silence.is_over(now_s=read_clock()):
+            await anyio.sleep(POLL_S)
+
+    answer = await run_watched(work, silence, wait_unasked)
     run.step("answered")
     return answer
 
--- a/lycheetide/node/tests/test_silence.py
+++ b/lycheetide/node/tests/test_silence.py
@@ -1,11 +1,12 @@
 """A silent upstream is left only where another one takes its request over."""
 
 import hashlib
+import time
 
 import pytest
 
 from lycheetide.fleet import Customer
-from standins.callers import ask_prompt, post
+from standins.callers import ask_prompt, book, count_runs, get_key, post
 from standins.local import TOKENS, LocalFleet, make_forge_works
 from standins.promises import find_broken
 
@@ -106,3 +107,37 @@
     path = "/v1/services/booking/status"
     answer = post(node, path, {}, deadline_s=DEADLINE_S)
     assert answer.status == 200
+
+
+def test_a_deposit_whose_service_is_slow_is_answered(make_fleet):
+    """A deposit's caller is told "unknown" while the service still works on it.
+
+    Nothing else may run the deposit, so it gains nothing from not being waited for;
+    its answer is lost, and the key stays unknown for whoever asks again.
+    """
+    fleet = make_fleet(engines=1, bookings=2)
+    for name in fleet.services:
+        fleet.set_faults(name, work_s=STALL_S)
+    (node,) = fleet.nodes.values()
+    key = get_key(node)
+    answers = [book(node, key, deadline_s=DEADLINE_S) for _ in range(2)]
+    assert [answer.status for answer in answers] == [200, 200]
+    assert count_runs(fleet, key) == 1
+
+
+def test_a_deposit_that_nobody_waits_for_ends_in_silence(make_fleet):
+    """A service is hung for good, and the deposit's caller has given up.
+
+    Whoever asks again must be told "unknown" at once, and the node be able to stop.
+    """
+    fleet = make_fleet(engines=1, bookings=2)
+    for name in fleet.services:
+        fleet.set_faults(name, work_s=3600.0)
+    (node,) = fleet.nodes.values()
+    key = get_key(node)
+    first = book(node, key, deadline_s=1.5)
+    time.sleep(1.0)
+    again = book(node, key, deadline_s=DEADLINE_S)
+    assert [first.outcome, again.outcome] == ["unknown", "unknown"]
+    assert again.total_s < 5.0
+    assert count_runs(fleet, key) == 1
--- a/lycheetide/upstreams/_silence.py
+++ b/lycheetide/upstreams/_silence.py
@@ -1,4 +1,4 @@
-"""End a silent call, but only when another upstream takes its request over."""
+"""End a silent call, but only when its request needs it no more."""
 
 import math
 from collections.abc import Awaitable, Callable
@@ -51,12 +51,12 @@
         return now_s >= self._over_s
 
     async def leave(self, seek):
-        """Seek a successor during each silence that is too long, until there is one.
+        """Run ``seek`` during each silence that is too long, until it ends.
 
         Parameters
         ----------
         seek : callable
-            A coroutine function that ends when there is one.
+            A coroutine function that ends when the call is needed no more.
         """
         while not self.is_left:
             with anyio.CancelScope(deadline=self._over_s) as self._wait:
@@ -73,10 +73,11 @@
     silence: Silence,
     seek: Callable[[], Awaitable[None]],
 ):
-    """Run a call, and end it when it is silent and has a successor.
+    """Run a call, and end it when it is silent and needed no more.
 
-    A call that was ended sooner would be lost where no other one may follow, although
-    its upstream might only be busy and answer in time.
+    That is when it has a successor, or nobody waits for it. A call that was ended
+    sooner would be lost where no other one may follow, although its upstream might
+    only be busy and answer in time.
 
     Parameters
     ----------
@@ -85,8 +86,8 @@
     silence : Silence
         What ``work`` tells of its waiting.
     seek : callable
-        A coroutine function that ends when there is a successor. Before that it looks
-        whether the silence still lasts, and awaits nothing after that.
+        A coroutine function that ends when the call is needed no more. Before that it
+        looks whether the silence still lasts, and awaits nothing after that.
 
     Returns
     -------
@@ -96,7 +97,7 @@
     Raises
     ------
     UpstreamSilent
-        If there is a successor.
+        If it was ended.
     """
     result: Any = None
     error: Exception | None = None
