--- a/lycheetide/node/_permits.py
+++ b/lycheetide/node/_permits.py
@@ -26,6 +26,7 @@
 ACQUIRE_S = _owner.SLICE_S + CALL_MARGIN_S
 """An owner holds a call for a slice; the margin is for the way there and back."""
 RETRY_S = 0.05
+REFUSED_RETRY_S = 0.5
 UNREACHED_RETRY_AFTER_S = 2.0
 
 _draw = random.Random()
@@ -47,6 +48,8 @@
         Empty for plain services.
     avoid : tuple of str
         Replicas on which an earlier attempt broke.
+    is_begun : bool
+        Whether a part of its answer has come.
     """
 
     admitted: object
@@ -55,6 +58,7 @@
     answer_tokens: int
     prefix_key: str = ""
     avoid: tuple[str, ...] = ()
+    is_begun: bool = False
 
 
 def gather_summaries(node, now_s):
@@ -70,7 +74,10 @@
 
 
 async def get_permit(node, wish):
-    """Ask the owners of the cells, the best first, until one grants.
+    """Ask for a permit until there is one, or until all refuse.
+
+    An answer that has begun would be cut by a refusal, and its caller can't take it up
+    elsewhere; so it is asked for again until the deadline.
 
     Parameters
     ----------
@@ -91,6 +98,18 @@
     NotRun
         If all refuse.
     """
+    while True:
+        try:
+            return await _ask_cells(node, wish)
+        except NotRun as refusal:
+            if not wish.is_begun:
+                raise
+            node.counters.add(f"permits.refused_begun.{refusal.reason}")
+        await anyio.sleep(REFUSED_RETRY_S)
+
+
+async def _ask_cells(node, wish):
+    """Ask the owners of the cells, the best first, until one grants or all refuse."""
     admitted = wish.admitted
     cells = node.find_index().by_served.get(wish.serves, ())
     if not cells:
--- a/lycheetide/node/_prompts.py
+++ b/lycheetide/node/_prompts.py
@@ -198,6 +198,7 @@
         answer_tokens=prompt.max_tokens,
         prefix_key=make_prefix_key(admitted.customer.name, prompt.model, prompt.text),
         avoid=tuple(run.avoid),
+        is_begun=run.check.next_seq > 0,
     )
 
 
--- a/lycheetide/node/_successors.py
+++ b/lycheetide/node/_successors.py
@@ -51,7 +51,9 @@
             fresh = set(others) - set(wish.avoid)
             avoid = (*wish.avoid, *silent) if fresh else silent
             try:
-                held, asked_s = await get_permit(node, replace(wish, avoid=avoid))
+                # A refusal brings back the look at the other replicas and the budget.
+                anew = replace(wish, avoid=avoid, is_begun=False)
+                held, asked_s = await get_permit(node, anew)
             except NotRun:
                 pass
             else:
--- a/lycheetide/node/tests/test_silence.py
+++ b/lycheetide/node/tests/test_silence.py
@@ -2,12 +2,13 @@
 
 import hashlib
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
-from lycheetide.fleet import Customer
+from lycheetide.fleet import Customer, FailureDomain, RequestClass
 from standins.callers import ask_prompt, book, count_runs, get_key, post
-from standins.local import TOKENS, LocalFleet, make_forge_works
+from standins.local import DOMAINS, TOKENS, LocalFleet, make_forge_works
 from standins.promises import find_broken
 
 SILENCE_S = 0.5
@@ -52,10 +53,27 @@
     )
 
 
-def ask_node(fleet, **fields):
-    """Ask the fleet's only node for a short answer."""
+def ask_node(fleet, *, max_tokens=8, **fields):
+    """Ask the fleet's only node for an answer."""
     (node,) = fleet.nodes.values()
-    return ask_prompt(node, 1_000, max_tokens=8, deadline_s=DEADLINE_S, **fields)
+    return ask_prompt(
+        node, 1_000, max_tokens=max_tokens, deadline_s=DEADLINE_S, **fields
+    )
+
+
+def set_domain(fleet, name, state):
+    """Take a failure domain out, or in again."""
+    domain = FailureDomain(name, "munster", state)
+    fleet.publish([("failure_domains", name, domain)])
+    wait_in_force(fleet)
+
+
+def wait_started(fleet):
+    """Wait until an engine has begun a prompt."""
+    fleet.wait_for(
+        lambda: any(fleet.record(name)["starts"] for name in fleet.engines),
+        what="a start",
+    )
 
 
 @pytest.mark.parametrize(("engines", "has_budget"), [(6, True), (2, False), (1, True)])
@@ -141,3 +159,64 @@
     assert [first.outcome, again.outcome] == ["unknown", "unknown"]
     assert again.total_s < 5.0
     assert count_runs(fleet, key) == 1
+
+
+def test_a_stream_that_has_begun_waits_for_an_engine_to_go_on_at(make_fleet):
+    """A stream's engine breaks off while no other one is open.
+
+    The next one is open long before the caller's deadline.
+    """
+    fleet = make_fleet(engines=2, bookings=1, decode_s=0.05)
+    first_domain, spare_domain, _ = DOMAINS
+    set_domain(fleet, spare_domain, "out")
+    with ThreadPoolExecutor(1) as pool:
+        asked = pool.submit(ask_node, fleet, max_tokens=60)
+        wait_started(fleet)
+        set_domain(fleet, first_domain, "out")
+        fleet.set_faults("assistant-1", cut_at=50)
+        time.sleep(4.0)
+        set_domain(fleet, spare_domain, "in")
+        answer = asked.result()
+    assert (answer.reason, answer.whole) == ("", True)
+    assert fleet.record("assistant-2")["starts"]
+    assert find_broken(fleet, [answer], deadline_s=DEADLINE_S) == []
+
+
+def test_a_stream_that_has_begun_waits_longer_than_its_class_lets_new_ones(make_fleet):
+    """A long stream breaks off, and its engine takes no work for a few seconds.
+
+    Its class lets requests wait a second for a replica. The stream came longer ago.
+    """
+    fleet = make_fleet(engines=1, bookings=1, decode_s=0.05)
+    hasty = RequestClass("quote", deadline_s=DEADLINE_S, max_wait_s=1.0)
+    fleet.publish([("classes", "quote", hasty)])
+    wait_in_force(fleet)
+    with ThreadPoolExecutor(1) as pool:
+        asked = pool.submit(ask_node, fleet, max_tokens=60)
+        wait_started(fleet)
+        fleet.set_faults("assistant-1", cut_at=50, load_silent=True)
+        time.sleep(6.0)
+        fleet.set_faults("assistant-1", load_silent=False)
+        answer = asked.result()
+    assert (answer.reason, answer.whole) == ("", True)
+    assert find_broken(fleet, [answer], deadline_s=DEADLINE_S) == []
+
+
+def test_a_stream_that_finds_no_engine_again_ends_at_its_deadline(make_fleet):
+    """A stream breaks off after operators have taken the only engine out.
+
+    It may wait for another one, but its caller is told by the deadline, not later.
+    """
+    deadline_s = 5.0
+    fleet = make_fleet(engines=1, bookings=1, decode_s=0.05)
+    (node,) = fleet.nodes.values()
+    with ThreadPoolExecutor(1) as pool:
+        asked = pool.submit(
+            ask_prompt, node, 1_000, max_tokens=60, deadline_s=deadline_s
+        )
+        wait_started(fleet)
+        set_domain(fleet, DOMAINS[0], "out")
+        fleet.set_faults("assistant-1", cut_at=50)
+        answer = asked.result()
+    assert (answer.outcome, answer.reason) == ("failed", "deadline")
+    assert find_broken(fleet, [answer], deadline_s=deadline_s) == []
