--- a/lycheetide/node/_bookings.py
+++ b/lycheetide/node/_bookings.py
@@ -29,8 +29,8 @@
 )
 from lycheetide.node._booking_home import serve_at_home
 from lycheetide.node._booking_keys import hash_call
-from lycheetide.node._permits import Wish, get_permit, give_back
-from lycheetide.node._services import CALL_TOKENS, STALE_PAUSE_S, may_send
+from lycheetide.node._permits import Wish, get_permit, give_back, may_send
+from lycheetide.node._services import CALL_TOKENS, STALE_PAUSE_S
 from lycheetide.node._state import BOOKING_STREAM, draw_id, read_clock
 from lycheetide.outcomes import (
     NotRun,
--- a/lycheetide/node/_permits.py
+++ b/lycheetide/node/_permits.py
@@ -18,7 +18,7 @@
     PeerUnreached,
     RenewRequest,
 )
-from lycheetide.routing import rank_cells
+from lycheetide.routing import check_dispatch, rank_cells
 from lycheetide.scheduling import Permit, Ticket
 
 CALL_MARGIN_S = 0.5
@@ -281,6 +281,19 @@
     return held
 
 
+def may_send(node, held, asked_s):
+    """Look a last time whether a permit may be used."""
+    now_s = read_clock()
+    return check_dispatch(
+        node.fleet,
+        held.permit.replicas,
+        fresh=node.is_fresh(now_s=now_s),
+        permit_asked_s=asked_s,
+        now_s=now_s,
+        permit_use_s=node.settings.permit_use_s,
+    )
+
+
 def give_back(node, held, *, broken=()):
     """End a permit; the call to the owner goes on by itself.
 
--- a/lycheetide/node/_prompts.py
+++ b/lycheetide/node/_prompts.py
@@ -8,8 +8,8 @@
 
 from lycheetide.charts import load_chart
 from lycheetide.metrics import get_log
-from lycheetide.node._permits import Wish, get_permit, give_back
-from lycheetide.node._state import draw_id, read_clock
+from lycheetide.node._permits import Wish, get_permit, give_back, may_send
+from lycheetide.node._state import draw_id
 from lycheetide.node._successors import (
     decide_next,
     find_retry_reason,
@@ -26,7 +26,6 @@
 )
 from lycheetide.routing import (
     RetryDecision,
-    check_dispatch,
     count_tokens,
     make_prefix_key,
     split_prompt,
@@ -163,15 +162,7 @@
         replicas = held.permit.replicas
         broken = ()
         try:
-            usable = check_dispatch(
-                node.fleet,
-                replicas,
-                fresh=node.is_fresh(now_s=read_clock()),
-                permit_asked_s=asked_s,
-                now_s=read_clock(),
-                permit_use_s=node.settings.permit_use_s,
-            )
-            if not usable:
+            if not may_send(node, held, asked_s):
                 run.step("permit_stale")
                 node.counters.add_retry(RetryReason.PERMIT_STALE)
                 give_back(node, held)
--- a/lycheetide/node/_services.py
+++ b/lycheetide/node/_services.py
@@ -5,8 +5,7 @@
 
 import anyio
 
-from lycheetide.node._permits import Wish, get_permit, give_back
-from lycheetide.node._state import read_clock
+from lycheetide.node._permits import Wish, get_permit, give_back, may_send
 from lycheetide.node._successors import (
     decide_next,
     find_retry_reason,
@@ -15,7 +14,7 @@
     take_successor,
 )
 from lycheetide.outcomes import Failed, NotRun, Reason, RetryReason
-from lycheetide.routing import RetryDecision, check_dispatch
+from lycheetide.routing import RetryDecision
 from lycheetide.upstreams import (
     ServiceCall,
     Silence,
@@ -164,19 +163,6 @@
     return await run_watched(work, silence, seek)
 
 
-def may_send(node, held, asked_s):
-    """Look a last time whether a permit may be used."""
-    now_s = read_clock()
-    return check_dispatch(
-        node.fleet,
-        held.permit.replicas,
-        fresh=node.is_fresh(now_s=now_s),
-        permit_asked_s=asked_s,
-        now_s=now_s,
-        permit_use_s=node.settings.permit_use_s,
-    )
-
-
 def _check_retry(node, run, error):
     """Raise the caller's error unless there is to be another attempt."""
     if decide_next(node, run, error) is RetryDecision.RETRY:
--- a/lycheetide/node/_successors.py
+++ b/lycheetide/node/_successors.py
@@ -5,7 +5,7 @@
 import anyio
 
 from lycheetide.fleet import takes_new_work
-from lycheetide.node._permits import get_permit, give_back
+from lycheetide.node._permits import get_permit, give_back, may_send
 from lycheetide.node._state import read_clock
 from lycheetide.outcomes import NotRun, RetryReason
 from lycheetide.routing import RetryDecision, decide_retry
@@ -60,6 +60,7 @@
                 if (
                     silence.is_over(now_s=read_clock())
                     and not set(held.permit.replicas) & set(silent)
+                    and _may_send(node, held, asked_s)
                     and _may_follow(node, wish, attempts, node.budgets.spend_retry)
                 ):
                     return held, asked_s
@@ -79,6 +80,14 @@
     ]
 
 
+def _may_send(node, held, asked_s):
+    """Tell whether a successor may be sent; a node that is cut off waits for that."""
+    try:
+        return may_send(node, held, asked_s)
+    except NotRun:
+        return False
+
+
 def _may_follow(node, wish, attempts, spend):
     """Tell whether another attempt may follow; ``spend`` takes or finds a retry."""
     admitted = wish.admitted
--- /dev/null
+++ b/lycheetide/node/tests/test_successors.py
@@ -0,0 +1,92 @@
+"""A silent attempt is kept until its successor can be sent, and paid for once."""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from lycheetide.fleet import Customer, FailureDomain, Fleet, Upstream
+from lycheetide.limits import CustomerBudgets
+from lycheetide.metrics import Counters
+from lycheetide.node import _successors
+from lycheetide.node._permits import Wish
+from lycheetide.node._state import HeldPermit, make_index, read_clock
+from lycheetide.outcomes import NotRun, Reason
+from lycheetide.routing import Admitted
+from lycheetide.upstreams import Silence
+
+pytestmark = pytest.mark.anyio
+
+CUSTOMER = Customer("kestrel", "0" * 64, retries_per_s=0.0, retry_burst=1.0)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def make_node():
+    """Return what the search for a successor needs of a node with two engines."""
+    engines = {
+        name: Upstream(name, "engine", "m", "cork-a", f"http://{name}", "c")
+        for name in ("a1", "a2")
+    }
+    domains = {"cork-a": FailureDomain("cork-a", "munster")}
+    fleet = Fleet(upstreams=engines, failure_domains=domains)
+    return SimpleNamespace(
+        fleet=fleet,
+        find_index=lambda: make_index(fleet, "munster"),
+        budgets=CustomerBudgets(),
+        counters=Counters(None),
+        note=lambda *_, **__: None,
+        is_fresh=lambda *, now_s: True,
+        settings=SimpleNamespace(permit_use_s=2.0),
+    )
+
+
+async def seek(node, monkeypatch, permits):
+    """Seek a successor of ``a1``; return its replicas and those given back."""
+    given_back = []
+
+    async def get_permit(node, wish):
+        came = permits.pop(0)
+        if isinstance(came, NotRun):
+            raise came
+        return HeldPermit(SimpleNamespace(replicas=(came,)), "c"), read_clock()
+
+    monkeypatch.setattr(_successors, "SEEK_AGAIN_S", 0.01)
+    monkeypatch.setattr(_successors, "get_permit", get_permit)
+    monkeypatch.setattr(
+        _successors, "give_back", lambda _, held: given_back.append(held)
+    )
+    now_s = read_clock()
+    admitted = Admitted("r1", CUSTOMER, None, now_s, now_s + 20.0)
+    silence = Silence()
+    silence.begin(-1.0)
+    with anyio.fail_after(5.0):
+        held, _ = await _successors.seek_successor(
+            node, Wish(admitted, "m", 1, 1), ("a1",), silence, attempts=1
+        )
+    return held.permit.replicas, [held.permit.replicas for held in given_back]
+
+
+async def test_refusals_and_the_silent_replica_itself_are_no_successors(monkeypatch):
+    """No other replica has room yet, and the silent one is granted once more."""
+    node = make_node()
+    refusal = NotRun(Reason.NO_CAPACITY)
+    found, given_back = await seek(node, monkeypatch, [refusal, "a1", "a2"])
+    assert (found, given_back) == (("a2",), [("a1",)])
+    assert node.budgets.retries == {"kestrel": 1}
+
+
+async def test_a_node_that_may_not_send_keeps_its_silent_attempt(monkeypatch):
+    """A node is cut off for a moment, just when a permit for a successor comes.
+
+    Left then, a request would end as "not fresh", though its upstream may go on.
+    """
+    node = make_node()
+    freshness = [False, True]
+    node.is_fresh = lambda *, now_s: freshness.pop(0)
+    found, given_back = await seek(node, monkeypatch, ["a2", "a2"])
+    assert (found, given_back) == (("a2",), [("a2",)])
+    assert node.budgets.retries == {"kestrel": 1}
