--- a/lycheetide/upstreams/_silence.py
+++ b/lycheetide/upstreams/_silence.py
@@ -112,6 +112,9 @@
             result = await work()
         except Exception as caught:
             error = caught
+        # A deadline that passes while the watch ends would take the answer away again,
+        # and its request would look as if it had never been sent.
+        group.cancel_scope.shield = True
         group.cancel_scope.cancel()
     if silence.is_left:
         raise UpstreamSilent("it said nothing for too long")
--- a/lycheetide/upstreams/tests/test_silence.py
+++ b/lycheetide/upstreams/tests/test_silence.py
@@ -109,3 +109,19 @@
 
     with pytest.raises(ValueError, match="broken"):
         await run_watched(work, Silence(), anyio.sleep_forever)
+
+
+async def test_an_answer_that_came_is_not_lost_to_a_deadline_in_the_same_moment():
+    """A caller's deadline passes while the watch over a whole answer is ended.
+
+    The caller would be told "not run" after the last token of its answer.
+    """
+    result = None
+    with anyio.CancelScope() as deadline:
+
+        async def work():
+            deadline.cancel()
+            return "whole"
+
+        result = await run_watched(work, Silence(), anyio.sleep_forever)
+    assert result == "whole"
