--- a/lycheetide/relay/tests/test_knowledge.py
+++ b/lycheetide/relay/tests/test_knowledge.py
@@ -96,6 +96,28 @@
     assert refused.status_code == 401
 
 
+async def test_a_read_that_the_store_forgot_holds_back_no_configuration():
+    """The read that waits for a configuration goes out while the store says nothing.
+
+    The store never answers it. It works again soon, and other reads show that; a key
+    that is taken away then stays valid for 20 s.
+    """
+    async with Relayed() as fleet:
+        (relay,) = fleet.relays
+        store = fleet.store
+        store.down = "busy"
+        store.wake()
+        await fleet.wait_for(lambda: relay.operator.failures)
+        store.down = "silent"
+        asked = len(store.calls)
+        await fleet.wait_for(
+            lambda: any("keyed.op" in target for target in store.calls[asked:])
+        )
+        store.down = ""
+        store.put("keyed.op", "config", make_config(version=9))
+        await fleet.wait_for(lambda: knows(relay, 9), timeout_s=NOTICE_S + 1.0)
+
+
 async def test_a_draining_replica_gets_no_new_work():
     async with Relayed() as fleet:
         leaving = fleet.replicas[0]
