--- a/lycheetide/relay/_patience.py
+++ b/lycheetide/relay/_patience.py
@@ -16,7 +16,7 @@
 PATIENCE = 0.6
 """Part of the time that a caller waits for an event after which another replica is
 tried even if this one is alive; the rest is for the other one's first event."""
-AGAIN_S = 0.15
+EVENT_NEEDS_S = 0.15
 """What another attempt needs at least to bring an event."""
 EVIDENCE_S = 0.3
 """Peers tell within this time which replicas they hear."""
@@ -64,7 +64,7 @@
             return wait_s
         if not race.is_alone:
             return LOOK_AGAIN_S
-        hindrance = prepare_successor(relay, call, needs_s=AGAIN_S, now_s=now_s)
+        hindrance = prepare_successor(relay, call, needs_s=EVENT_NEEDS_S, now_s=now_s)
         if hindrance is None:
             note_rival(relay, call, listener.replica)
             race.start()
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -133,7 +133,7 @@
 
 
 def find_patience_s(call):
-    """Return how long a call's caller waits for the first event."""
+    """Return how long a call's caller waits for an event, in seconds."""
     return caller_patience_s(call.route.target_latency_s, call.route.target_gap_s)
 
 
@@ -147,7 +147,7 @@
     call : Call
         The call.
     wait_s : float
-        How long it may look for a place, as ``find_wait_s`` tells.
+        How long it may look for a place, as ``find_place_wait_s`` tells.
 
     Raises
     ------
@@ -166,7 +166,7 @@
         await anyio.sleep(WAIT_S)
 
 
-def find_wait_s(call):
+def find_place_wait_s(call):
     """Return how long a call looks for a place, in seconds.
 
     Before it has begun that is a moment: a cold replica takes more soon, or memory
--- a/lycheetide/relay/_retries.py
+++ b/lycheetide/relay/_retries.py
@@ -28,7 +28,7 @@
     needs_s : float
         What another attempt would take.
     """
-    hindrance = find_limit(call, needs_s=needs_s, now_s=read_clock())
+    hindrance = find_own_hindrance(call, needs_s=needs_s, now_s=read_clock())
     if hindrance is None and not take_retry(relay, call):
         hindrance = Hindrance.NO_BUDGET
     if hindrance is None:
@@ -58,7 +58,7 @@
     # The running attempt may have begun its work, whether its head has come or not.
     if not call.route.is_repeatable:
         return Hindrance.NOT_REPEATABLE
-    hindrance = find_limit(call, needs_s=needs_s, now_s=now_s)
+    hindrance = find_own_hindrance(call, needs_s=needs_s, now_s=now_s)
     if hindrance is not None:
         return hindrance
     if not has_retry(relay, call, now_s=now_s):
@@ -69,8 +69,8 @@
     return None
 
 
-def find_limit(call, *, needs_s, now_s):
-    """Return the limit of its own that keeps a call from another replica, or None."""
+def find_own_hindrance(call, *, needs_s, now_s):
+    """Return which limit of its own keeps a call from another replica, or None."""
     if call.may_have_run and not call.route.is_repeatable:
         return Hindrance.NOT_REPEATABLE
     if call.left_s(now_s=now_s) <= needs_s:
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -11,8 +11,8 @@
 from lycheetide.relay._events import EventSplitter
 from lycheetide.relay._evidence import note_failure
 from lycheetide.relay._outcomes import AttemptFailed, Cause, StreamCut
-from lycheetide.relay._patience import AGAIN_S, SILENCE_S, make_stream_patience
-from lycheetide.relay._place import choose, find_wait_s, make_refusal
+from lycheetide.relay._patience import EVENT_NEEDS_S, SILENCE_S, make_stream_patience
+from lycheetide.relay._place import choose, find_place_wait_s, make_refusal
 from lycheetide.relay._race import Race
 from lycheetide.relay._retries import may_try_again
 from lycheetide.relay._state import read_clock
@@ -112,7 +112,7 @@
         if failure is None:
             return
         if isinstance(failure, AttemptFailed) and may_try_again(
-            relay, call, needs_s=AGAIN_S
+            relay, call, needs_s=EVENT_NEEDS_S
         ):
             relay.counters.add(f"retries.{failure.cause}")
             continue
@@ -134,7 +134,7 @@
         If there is no place for it.
     """
     # Beside another attempt there is no need to wait for a place: that one goes on.
-    wait_s = find_wait_s(call) if race.is_alone else 0.0
+    wait_s = find_place_wait_s(call) if race.is_alone else 0.0
     try:
         async with hold_memory(relay, call, wait_s=wait_s) as memory:
             placement = memory.placement or await choose(relay, call, wait_s=wait_s)
