--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -80,6 +80,10 @@
         relay.log.info("The store answers.", extra={"topic": name})
         if was_out_for_all(relay, source, now_s=now_s):
             source.returned_s = now_s
+    if name == "registry" and source.failures and relay.operator_read is not None:
+        # The read that waits for a configuration may have gone out while the store said
+        # nothing. It is never answered, and would hold the next version back.
+        relay.operator_read.cancel()
     source.is_reachable = True
     source.failures = 0
     take(relay, name, batch, now_s=now_s)
