--- a/lycheetide/relay/_ingress.py
+++ b/lycheetide/relay/_ingress.py
@@ -32,7 +32,7 @@
     """Serve one request; it ends at once when its caller leaves."""
     request = read_head(relay, scope)
     reply = Reply(send, lambda: relay.is_leaving)
-    watch = _Watch(receive)
+    watch = _Watch(receive, reply)
     relay.active += 1
     relay.counters.add("requests")
     error: Exception | None = CallerLeft()
@@ -112,17 +112,20 @@
 class _Watch:
     """Ends a request when its caller closes the connection.
 
-    Replicas would otherwise work on for nobody.
+    Replicas would otherwise work on for nobody. The server tells of the same event
+    behind a complete answer, which ends by itself.
     """
 
-    def __init__(self, receive):
+    def __init__(self, receive, reply):
         self.receive = receive
+        self.reply = reply
 
     async def run(self, scope):
         """Wait for the caller to leave, then cancel the request."""
         while (await self.receive())["type"] != "http.disconnect":
             continue
-        scope.cancel()
+        if not self.reply.is_complete:
+            scope.cancel()
 
 
 async def refuse(relay, request, refusal, reply):
--- a/lycheetide/relay/_reply.py
+++ b/lycheetide/relay/_reply.py
@@ -18,6 +18,7 @@
         self._send = send
         self._closes = closes
         self.is_started = False
+        self.is_complete = False
         self.status = 0
         self.notes = {}
 
@@ -56,11 +57,13 @@
 
     async def end(self):
         """End a complete body."""
+        self.is_complete = True
         await self._pass({"type": "http.response.body", "body": b""})
 
     async def give(self, status, headers, body):
         """Write a whole answer."""
         await self.start(status, headers, length=len(body))
+        self.is_complete = True
         await self._pass({"type": "http.response.body", "body": body})
 
     async def _pass(self, message):
--- a/lycheetide/relay/tests/test_answers.py
+++ b/lycheetide/relay/tests/test_answers.py
@@ -53,6 +53,23 @@
     assert answer.content == WHOLE
 
 
+@pytest.mark.parametrize("path", ["/stream/s", "/look/a"])
+async def test_a_caller_that_has_its_whole_answer_is_not_logged_as_gone(path):
+    """The server tells of a disconnect once an answer is complete.
+
+    Streams with whole answers were counted and logged as left by their callers.
+    """
+    async with Relayed() as fleet:
+        (relay,) = fleet.relays
+        send = fleet.stream if "stream" in path else fleet.look
+        for _ in range(5):
+            await send(path=path)
+        counts = relay.counters.counts
+        await fleet.wait_for(lambda: relay.active == 0)
+    assert counts["ended.answered.200"] == 5
+    assert counts["ended.caller_left"] == 0
+
+
 @pytest.mark.parametrize("step", ["break", "stall"])
 async def test_a_stream_that_breaks_off_goes_on_elsewhere(step):
     """A replica dies, or goes silent, in the middle of an event.
