--- a/lycheetide/relay/_tickets.py
+++ b/lycheetide/relay/_tickets.py
@@ -98,7 +98,9 @@
     """
     without: set[str] = set()
     begun_s = read_clock()
-    while read_clock() - begun_s <= wait_s:
+    is_first = True
+    while is_first or read_clock() - begun_s <= wait_s:
+        is_first = False
         open_now, _ = list_candidates(relay, call)
         candidates = [one for one in open_now if one.id not in without]
         placement = find_place(relay, call, candidates, now_s=read_clock())
--- a/lycheetide/relay/tests/test_successors.py
+++ b/lycheetide/relay/tests/test_successors.py
@@ -185,6 +185,30 @@
     assert data == WHOLE
 
 
+async def test_a_shared_prompt_at_a_dead_replica_is_tried_at_others():
+    """A replica dies without a word before a prompt that several hold has begun.
+
+    The second attempt never asked for memory, and the first one's was held for seconds.
+    """
+    async with Relayed(replicas=6, config=make_patient_config()) as fleet:
+        set_up(fleet.replicas, ["silent"])
+        for replica in fleet.replicas:
+            replica.events = EVENTS
+
+        async def recover():
+            await fleet.wait_for(fleet.runs)
+            for replica in fleet.replicas:
+                replica.script = []
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(recover)
+            begun_s = time.monotonic()
+            data, _ = await read_stream(fleet, tokens="130000,200")
+            took_s = time.monotonic() - begun_s
+    assert data == WHOLE
+    assert took_s < 4.0
+
+
 async def test_a_stream_that_has_begun_asks_a_full_replica_again():
     """A stream is cut since the only other replica was full for a moment.
 
