Ask a replica again that refused a call a moment ago

What callers saw: a stream broke off, and the only other replica was full for a moment; the connection was closed within the answer, though the route allowed one more attempt (test_a_stream_that_has_begun_asks_a_full_replica_again, listed as failing each time). Cause: a replica counted as tried from the moment a call was placed there, whether it ran the call or said that it did not. Change: a refusal is no try. Ruled out: leaving the pause away (a stream that has begun looks each 40 ms and would ask a full replica 50 times in its caller's patience). Before: fails each time.

--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -30,6 +30,8 @@
     call.may_have_run = call.may_have_run or failure.may_have_run
     if failure.cause is Cause.REFUSED and (placement.helpers or placement.holders):
         call.helpers_refused = True
+    if failure.cause is Cause.REFUSED and not failure.may_have_run:
+        call.note_refused(placement.first.id, now_s=read_clock())
     if failure.cause is Cause.BROKEN:
         relay.trust.doubt(placement.first.id, now_s=read_clock())
     if failure.cause is Cause.SILENT:
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -67,7 +67,7 @@
     now_s = read_clock()
     homes = (call.route.regions, call.customer.regions if call.customer else ())
     usable = relay.candidates(
-        call.service, now_s=now_s, without=call.tried, homes=homes
+        call.service, now_s=now_s, without=call.list_closed(now_s=now_s), homes=homes
     )
     nodes = relay.living_nodes(now_s=now_s)
     for is_last_resort in (False, True):
