Count one silence once, and ask a second replica at growing pauses

What callers saw: after a replica had read one long prompt and gone on, it was left alone for 12 s instead of 3, and others carried its work; one prompt's log had eleven lines of a second attempt that found no place. Cause: each stream that met the same silence doubled the suspicion; a second attempt that was refused was started anew each 0.25 s and suspected the replica each time. Change: a suspicion counts again only after the replica had been left alone for its time; until then further evidence only makes a peer's older word count less. What is suspected already isn't told or logged again. A second attempt is followed by the next after 0.5 s, 1 s, then 2 s. Before: two new tests of the board failed (None instead of True, False; 12 s). After: relay, board and placement 207 passed.

--- a/lycheetide/board/_trust.py
+++ b/lycheetide/board/_trust.py
@@ -5,6 +5,8 @@
 and answers that broke off do where several of one failure domain come together.
 """
 
+from dataclasses import dataclass, replace
+
 from lycheetide.board._board import FORGET_S
 
 NEVER_S = float("-inf")
@@ -19,6 +21,31 @@
 MOST_DOUBLINGS = 4
 
 
+@dataclass(frozen=True)
+class Suspicion:
+    """What speaks against a replica.
+
+    Parameters
+    ----------
+    since_s : float
+        When it was first waited for in vain; it is left alone from then on.
+    last_s : float
+        When it last was.
+    times : int
+        How often it was so after it had been left alone.
+    """
+
+    since_s: float
+    last_s: float
+    times: int
+
+    @property
+    def ends_s(self):
+        """From when on it may be tried again."""
+        doubled_s = SUSPECT_S * 2 ** (self.times - 1)
+        return self.since_s + min(doubled_s, LONGEST_SUSPECT_S)
+
+
 class Trust:
     """The evidence for and against each replica, as far as this node has it."""
 
@@ -26,7 +53,7 @@
         self._answered_s: dict[str, float] = {}
         self._told_s: dict[str, float] = {}
         self._troubled_s: dict[str, float] = {}
-        self._suspects: dict[str, tuple[float, int]] = {}
+        self._suspects: dict[str, Suspicion] = {}
 
     def hear(self, replica, *, now_s):
         """Note an answer of a replica to this node."""
@@ -42,7 +69,7 @@
         """
         self._told_s[replica] = now_s
         found = self._suspects.get(replica)
-        if found is not None and now_s - found[0] > TOLD_AGE_S:
+        if found is not None and now_s - found.last_s > TOLD_AGE_S:
             del self._suspects[replica]
 
     def doubt(self, replica, *, now_s):
@@ -50,10 +77,28 @@
         self._troubled_s[replica] = now_s
 
     def suspect(self, replica, *, now_s):
-        """Note that a replica was waited for in vain, or refused a connection."""
+        """Note that a replica was waited for in vain, or refused a connection.
+
+        All who wait for it meet the same silence, which is one piece of evidence. Each
+        of them counted, a replica that read one long prompt would be left alone four
+        times as long.
+
+        Returns
+        -------
+        bool
+            Whether it wasn't being left alone already.
+        """
         self._troubled_s[replica] = now_s
-        _, times = self._suspects.get(replica, (now_s, 0))
-        self._suspects[replica] = (now_s, min(times + 1, MOST_DOUBLINGS))
+        found = self._suspects.get(replica)
+        is_new = found is None or now_s >= found.ends_s
+        if found is None:
+            self._suspects[replica] = Suspicion(now_s, now_s, 1)
+        elif is_new:
+            times = min(found.times + 1, MOST_DOUBLINGS)
+            self._suspects[replica] = Suspicion(now_s, now_s, times)
+        else:
+            self._suspects[replica] = replace(found, last_s=now_s)
+        return is_new
 
     def answered_s(self, replica):
         """Return when a replica last answered this node."""
@@ -78,15 +123,12 @@
     def is_suspect(self, replica, *, now_s):
         """Tell whether a replica should be left alone for now."""
         found = self._suspects.get(replica)
-        if found is None:
-            return False
-        since_s, times = found
-        return now_s - since_s < min(SUSPECT_S * 2 ** (times - 1), LONGEST_SUSPECT_S)
+        return found is not None and now_s < found.ends_s
 
     def is_recovering(self, replica, *, now_s):
         """Tell whether a replica was silent lately and hasn't answered since."""
         found = self._suspects.get(replica)
-        return found is not None and now_s - found[0] < RECOVERING_S
+        return found is not None and now_s - found.last_s < RECOVERING_S
 
     def forget(self, present, *, now_s):
         """Drop what is known of replicas that are gone and of which nothing is heard.
--- a/lycheetide/board/tests/test_board.py
+++ b/lycheetide/board/tests/test_board.py
@@ -139,6 +139,30 @@
     assert not trust.is_recovering("r", now_s=13.0)
 
 
+def test_streams_that_one_silence_meets_count_it_once():
+    """Four streams meet one silence, and their replica is left alone for 12 s.
+
+    It had read a long prompt and went on after a second; nothing else was wrong.
+    """
+    trust = Trust()
+    news = [trust.suspect("r", now_s=0.1 * place) for place in range(4)]
+    assert news == [True, False, False, False]
+    assert trust.is_suspect("r", now_s=2.9)
+    assert not trust.is_suspect("r", now_s=3.1)
+    assert trust.suspect("r", now_s=3.2)
+    assert trust.is_suspect("r", now_s=9.0)
+    assert not trust.is_suspect("r", now_s=9.3)
+
+
+def test_a_word_older_than_the_last_evidence_does_not_end_a_suspicion():
+    """A silent replica dies a moment later, and a peer's word of between frees it."""
+    trust = Trust()
+    trust.suspect("r", now_s=0.0)
+    trust.suspect("r", now_s=2.2)
+    trust.hear_of("r", now_s=2.9)
+    assert trust.is_suspect("r", now_s=2.95)
+
+
 def test_a_peers_older_word_does_not_end_a_suspicion():
     """A replica refuses connections, and a peer heard it within the last second.
 
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -8,8 +8,12 @@
 
 
 def suspect(relay, replica, why):
-    """Leave a replica alone for a while, here and at all other nodes."""
-    relay.trust.suspect(replica, now_s=read_clock())
+    """Leave a replica alone for a while, here and at all other nodes.
+
+    One that is left alone already was told of and logged then.
+    """
+    if not relay.trust.suspect(replica, now_s=read_clock()):
+        return
     relay.tell_work(Suspected(relay.node, replica))
     relay.counters.add("replicas.suspected")
     relay.log.info("A replica is suspected.", extra={"replica": replica, "why": why})
--- a/lycheetide/relay/_patience.py
+++ b/lycheetide/relay/_patience.py
@@ -21,7 +21,9 @@
 EVIDENCE_S = 0.3
 """Peers tell within this time which replicas they hear."""
 LOOK_AGAIN_S = 0.25
-"""Pause between two looks for a replica that can take over."""
+"""Pause between two looks for a replica that can take over; doubles with each one that
+was found and didn't."""
+LONGEST_LOOK_S = 2.0
 
 
 def make_stream_patience(relay, call, listener, race):
@@ -55,8 +57,10 @@
     """
     waits_s = caller_patience_s(call.route.target_latency_s, call.route.target_gap_s)
     note_stay = make_stay_log(relay, call, listener.replica)
+    rivals = 0
 
     def more():
+        nonlocal rivals
         now_s = read_clock()
         alive_s = find_alive_s(relay, listener.replica, now_s=now_s)
         wait_s = min(listener.at_s + PATIENCE * waits_s - now_s, alive_s)
@@ -66,8 +70,11 @@
             return LOOK_AGAIN_S
         hindrance = prepare_successor(relay, call, needs_s=EVENT_NEEDS_S, now_s=now_s)
         if hindrance is None:
-            note_rival(relay, call, listener.replica)
+            if rivals == 0:
+                note_rival(relay, call, listener.replica)
+            rivals += 1
             race.start()
+            return min(LONGEST_LOOK_S, LOOK_AGAIN_S * 2**rivals)
         elif call.is_begun or alive_s > 0:
             note_stay(hindrance)
         else:
