Let the soak tear a settings file only once it was read

Cause: the fault tore the file whatever the process was doing. Change: it waits until the process runs and takes hangups, which it does only after reading its settings; one that isn't there within 8 s is left alone.

--- a/lycheetide/relay/_call.py
+++ b/lycheetide/relay/_call.py
@@ -11,7 +11,7 @@
 """Prompt lengths at which a prompt is admitted one step later: each takes about twice
 as long to read as the one before."""
 REFUSED_AGAIN_S = 0.25
-"""How long a replica that refused a call isn't asked again for it; doubles each time."""
+"""How long a replica that refused a call is left out for it; doubles each time."""
 REFUSED_MOST = 4
 """Refusals of one replica after which it isn't asked again for a call at all."""
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -75,6 +75,12 @@
         """The file that it reads."""
         return self.folder / f"{self.name}.ini"
 
+    @property
+    def has_read_settings(self):
+        """Whether its process runs and has read them, which it does before signals."""
+        is_running = self.popen is not None and self.popen.poll() is None
+        return is_running and takes_hangups(self.popen.pid)
+
     @property
     def in_rotation(self):
         """Whether the balancer gives it callers."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,21 @@
 LAPSED_BACK_S = 1.0
 TORN = "[node]\nname = \nthis is no"
 
+READ_MOST_S = 8.0
+"""How long a process may take to read its settings; one that is frozen takes longer."""
+
+
+async def wait_until_read(node, *, within_s=READ_MOST_S):
+    """Wait until a node's process has read its settings; tell whether it has.
+
+    A process that starts on half a settings file ends, as it should.
+    """
+    with anyio.move_on_after(within_s):
+        while not node.has_read_settings:
+            await anyio.sleep(0.05)
+        return True
+    return False
+
 
 @dataclass(frozen=True)
 class Disturbance:
@@ -136,6 +151,8 @@
     async def _torn_settings(self, fault):
         """Leave half a settings file for a while."""
         node = self._node(fault)
+        if not await wait_until_read(node):
+            return []
         node.settings_path.write_text(TORN)
         self.deployment.signal(node, signal.SIGHUP)
         await anyio.sleep(fault.lasts_s)
