Count a request against a cold replica's share from when it is placed

What was seen: a cold replica got 21 and up to 37 requests in a second where 20 may be sent (listed; trials traced a stalled loop). Cause: a node's own share counted requests when they were sent. A loop that stalled placed for two seconds meanwhile, each time as if nothing had been placed. Change: what is placed counts until it is sent or given up; then it counts as sent. Left: nodes that don't know yet that a replica is cold may take the last of its limit before they hear of one another, so the listed test stays listed. Before: with placings left out of the count the new test places without end and runs into its time limit.

--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -156,7 +156,11 @@
     is_fresh = not call.route.is_repeatable
     is_counted = False
     while True:
-        channel = await connect(relay, call, first, is_fresh=is_fresh)
+        relay.note_placed(first.id)
+        try:
+            channel = await connect(relay, call, first, is_fresh=is_fresh)
+        finally:
+            relay.note_settled(first.id)
         if not is_counted:
             # A replica that can't be reached uses up no attempt.
             call.sent += 1
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from dataclasses import dataclass
 
 import anyio
@@ -104,6 +104,7 @@
         self._ranks: tuple[frozenset, dict] = (frozenset(), {})
         self._job_count = 0
         self._own_starts: dict[str, deque] = defaultdict(deque)
+        self._own_placed: Counter[str] = Counter()
 
     def take_settings(self, settings):
         """Go on with other settings."""
@@ -141,16 +142,30 @@
         self._job_count += 1
         return f"{self._job_count:x}"
 
+    def note_placed(self, replica):
+        """Count a request that this node is about to send."""
+        self._own_placed[replica] += 1
+
     def note_start(self, replica, *, now_s):
         """Count a request that this node sends."""
         self._own_starts[replica].append(now_s)
 
+    def note_settled(self, replica):
+        """Note that a request that was about to be sent was sent, or won't be."""
+        self._own_placed[replica] -= 1
+        if self._own_placed[replica] <= 0:
+            del self._own_placed[replica]
+
     def own_starts(self, replica, window_s, *, now_s):
-        """Return how many requests this node sent to a replica lately."""
+        """Return how many requests this node sent to a replica lately, or is about to.
+
+        A node that stalls places for a second, and sends for the next one. Counted when
+        they are sent only, all that it places meanwhile would pass as the first.
+        """
         starts = self._own_starts[replica]
         while starts and now_s - starts[0] > window_s:
             starts.popleft()
-        return len(starts)
+        return len(starts) + self._own_placed[replica]
 
     def forget_gone(self, *, now_s):
         """Drop what is known of replicas that are gone."""
