Read the registry at one node, start at peers, gather configurations

Cause: one node of each of five failure domains read twice a second; each node that started listed both topics anew; each configuration of a storm was read by each node. Change: the first of the hubs whose own reads work reads for the fleet. Other hubs read where knowledge is older than 1.1 s, all others from 1.5 s on, so a reader that is frozen, cut off or turned away is replaced within the 2 s in which a replica may leave. A node that starts takes both topics from a peer if one answers within 60 ms; after a configuration the next one is waited for 0.3 s later. Calls are counted by purpose. Ruled out: slower reads (what replicas tell would be older). Before, tests: two lists of a node that started among others, 40 reads of 20 configurations. After: at most 16, none.

--- a/lycheetide/board/_messages.py
+++ b/lycheetide/board/_messages.py
@@ -110,6 +110,8 @@
         All that the sender has in flight; None where that wouldn't fit.
     link_mbps : int
         How wide its link is, in Mbit/s; 0 where it isn't told.
+    reads_store : bool
+        Whether its last read of the registry worked.
 
     Notes
     -----
@@ -133,6 +135,7 @@
     living: tuple[int, ...] = ()
     jobs: tuple[str, ...] | None = None
     link_mbps: int = 0
+    reads_store: bool = True
 
 
 class Changed(msgspec.Struct, frozen=True, array_like=True, tag="c"):
--- a/lycheetide/board/_peers.py
+++ b/lycheetide/board/_peers.py
@@ -42,6 +42,8 @@
         Its place among the nodes.
     link_mbps : int
         How wide its link is, in Mbit/s; 0 where it isn't known.
+    reads_store : bool
+        Whether its last read of the registry worked.
     """
 
     node: str
@@ -54,6 +56,7 @@
     is_leaving: bool = False
     order: int = 0
     link_mbps: int = 0
+    reads_store: bool = True
 
 
 class Peers:
@@ -101,6 +104,7 @@
             is_leaving=hello.is_leaving,
             order=order_node(hello.node) if is_new else known.order,
             link_mbps=hello.link_mbps,
+            reads_store=hello.reads_store,
         )
         if is_new:
             self._names.discard(known.node)
--- a/lycheetide/platform/_store.py
+++ b/lycheetide/platform/_store.py
@@ -56,11 +56,13 @@
     ----------
     address : str
         "ip:port".
+    note_call : callable
+        Gets what each call is for: "read", "wait", "list" or "append".
     """
 
-    def __init__(self, address):
+    def __init__(self, address, *, note_call=lambda verb: None):
         self.address = address
-        self.calls = 0
+        self._note_call = note_call
         self._channel = None
 
     async def read(self, topic, offset, *, wait_s, timeout_s) -> Batch:
@@ -88,6 +90,7 @@
             f"/-/log-read?topic={topic}&part=0&from={offset}"
             f"&maxKb={LARGEST_READ_KB}&waitMs={int(wait_s * 1000)}"
         )
+        self._note_call("wait" if wait_s else "read")
         answer = await self._call("GET", target, b"", timeout_s=wait_s + timeout_s)
         if answer.status == 410:
             return await self.list(topic, timeout_s=timeout_s)
@@ -117,6 +120,7 @@
             target = f"/-/log-newest?topic={topic}&part=0"
             if after:
                 target += f"&after={quote(after, safe='')}"
+            self._note_call("list")
             answer = await self._call("GET", target, b"", timeout_s=timeout_s)
             self._check(answer, target)
             try:
@@ -142,6 +146,7 @@
         """
         target = f"/-/log-append?topic={topic}&part=0"
         body = encode_record(key, value)
+        self._note_call("append")
         self._check(await self._call("POST", target, body, timeout_s=timeout_s), target)
 
     async def aclose(self):
@@ -158,7 +163,6 @@
 
     async def _call(self, method, target, body, *, timeout_s):
         """Make one call; the connection is dropped if anything goes wrong."""
-        self.calls += 1
         whole = False
         try:
             if self._channel is None or not self._channel.is_alive():
--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -23,6 +23,13 @@
 back, and of what it says, so asking more often only adds to what it has to refuse. A
 configuration is due within 2 s and may be too large for a peer's slow link, so it is
 asked for sooner."""
+GATHER_CHANGES_S = 0.3
+"""Pause after a configuration was read, before the next one is waited for. Where many
+come in quick succession only the last one matters, and it is due within 2 s."""
+START_ASK_S = 0.06
+"""How long a node that starts waits for a peer that knows more than it; seeds answer
+within some 5 ms. Where all nodes start at once nobody knows, and callers wait."""
+START_LOOK_S = 0.01
 OUTAGE_S = 1.5
 """Reads that failed for so long were an outage, in which entries may have lapsed."""
 PEER_CALL_S = 1.0
@@ -35,19 +42,24 @@
 
 async def follow_operator(relay):
     """Follow the configuration and the failure domains taken out, for ever."""
-    store = relay.make_store()
+    store = relay.make_store("operator")
+    await begin_at_peers(relay, "operator")
     while True:
         with anyio.CancelScope() as relay.operator_read:
+            offset = relay.operator.offset
             await read_once(
                 relay, store, "operator", wait_s=relay.settings.operator_wait_s
             )
+            if 0 <= offset < relay.operator.offset:
+                await anyio.sleep(GATHER_CHANGES_S)
         if relay.operator_read.cancelled_caught:
             await read_from_peer(relay, "operator")
 
 
 async def follow_registry(relay):
     """Follow the list of replicas, for ever."""
-    store = relay.make_store()
+    store = relay.make_store("registry")
+    await begin_at_peers(relay, "registry")
     while True:
         now_s = read_clock()
         reads = must_read(relay, now_s=now_s)
@@ -289,24 +301,44 @@
     await read_whole(relay, "registry", address)
 
 
+async def begin_at_peers(relay, name):
+    """Take over what peers know of one topic, where there are any.
+
+    A fleet whose nodes are replaced one after the other would list all topics at the
+    store for each of them.
+    """
+    with anyio.move_on_after(START_ASK_S):
+        while find_knowing(relay, name) is None:
+            await anyio.sleep(START_LOOK_S)
+    await read_from_peer(relay, name)
+
+
 async def read_from_peer(relay, name):
     """Ask a peer that knows more than this node."""
-    now_s = read_clock()
-    source = getattr(relay, name)
+    peer = find_knowing(relay, name)
+    if peer is not None:
+        await read_whole(relay, name, peer.address)
+
+
+def find_knowing(relay, name):
+    """Return the peer that knows most of one topic, or None where none knows more."""
     offset = f"{name}_offset"
-    knowing = [
-        peer
-        for peer in relay.peers.alive(now_s=now_s)
-        if getattr(peer, offset) > source.offset
-    ]
-    if not knowing:
-        return
-    peer = max(knowing, key=lambda one: getattr(one, offset))
-    await read_whole(relay, name, peer.address)
+    known = getattr(relay, name).offset
+    return max(
+        (
+            peer
+            for peer in relay.peers.alive(now_s=read_clock())
+            if getattr(peer, offset) > known
+        ),
+        key=lambda peer: getattr(peer, offset),
+        default=None,
+    )
 
 
 async def read_whole(relay, name, address):
     """Take in all that a peer knows of one topic."""
+    peer = relay.peers.peers.get(address)
+    known_s = float("-inf") if peer is None else peer.registry_read_s
     try:
         batch = await fetch_state(relay, address, STATE_TARGETS[name])
     except (ConnectFailed, ChannelBroken, msgspec.MsgspecError) as error:
@@ -316,6 +348,8 @@
         return
     relay.counters.add(f"peers.gave.{name}")
     read_s = getattr(relay, name).read_s
+    if name == "registry" and batch.end >= relay.registry.offset:
+        read_s = max(read_s, known_s)
     take(relay, name, batch, now_s=read_clock(), read_s=read_s)
 
 
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -211,6 +211,7 @@
             living=() if peers else self._list_living(now_s=now_s),
             jobs=jobs if len(jobs) <= JOBS_MOST else None,
             link_mbps=round(relay.settings.link_mbps),
+            reads_store=relay.registry.is_reachable,
         )
 
     def close(self):
@@ -287,12 +288,22 @@
             relay.differs_since_s = now_s
             relay.tasks.start_soon(fetch_registry, relay, hello.address)
         if hello.wants_reply or is_new:
-            known = [peer.address for peer in relay.peers.alive(now_s=now_s)]
             reply = self.make_hello(
-                now_s=now_s, peers=known[:PEERS_MOST], wants_reply=False
+                now_s=now_s, peers=self._list_known(now_s=now_s), wants_reply=False
             )
             self.send(encode_message(reply), hello.address)
 
+    def _list_known(self, *, now_s):
+        """Return the addresses that a new node is told: the hubs, and some others."""
+        hubs = set(self._list_hubs(now_s=now_s))
+        others = [
+            peer.address
+            for peer in self.relay.peers.alive(now_s=now_s)
+            if peer.address not in hubs
+        ]
+        count = max(0, min(PEERS_MOST - len(hubs), len(others)))
+        return (*sorted(hubs), *self.relay.random.sample(others, count))[:PEERS_MOST]
+
     async def expire(self, _):
         """Take away requests of nodes that died, and kept connections that are old.
 
@@ -365,10 +376,11 @@
 
 async def discover(relay):
     """Write this node's address into the store, and read the others'."""
-    store = relay.make_store()
+    store = relay.make_store("nodes")
     address = relay.settings.peer_address
     for seed in relay.settings.seed_hosts:
         relay.peers.learn(f"{seed}:{address.rpartition(':')[2]}", now_s=read_clock())
+    relay.tell_news()
     is_written = False
     while True:
         try:
--- a/lycheetide/relay/_sharing.py
+++ b/lycheetide/relay/_sharing.py
@@ -1,17 +1,21 @@
-"""Read the registry at a few nodes and share what they read.
+"""Read the registry at one node and share what it reads.
 
 Replicas write all the time, so every read brings something, and each is paid for. One
-node in each failure domain reads; it tells the others of each change at once. They
-compare what they know by a digest in every greeting, and fetch all of it where a
-message was lost. A node that hears of nobody's fresh knowledge reads for itself.
+node reads; it tells the others of each change at once. They compare what they know by a
+digest in every greeting, and fetch all of it where a message was lost. Each failure
+domain has a node that reads for itself where it hears of nobody's fresh knowledge, and
+where that one hears of none either, every node does.
 """
 
 from lycheetide.board import Changed, Peer
 from lycheetide.exchange import Batch, Record
 
 FRESH_S = 1.1
-"""Knowledge older than this is read anew: a greeting in 0.3 s, a read in 0.5 s, and one
-lost datagram; replicas that leave are to get no work after 2 s."""
+"""Knowledge older than this is read anew by a node that works for others: a greeting in
+0.3 s, a read in 0.5 s, and one lost datagram; replicas that leave are to get no work
+after 2 s."""
+FRESH_ALONE_S = 1.5
+"""The same for all others, which hear of that node's read before."""
 DIFFERS_S = 0.15
 """Digests that differ for so long aren't about to agree by a message on its way."""
 HUB_SILENT_S = 1.2
@@ -59,12 +63,31 @@
     return find_hubs(relay, now_s=now_s).get(relay.settings.failure_domain) is None
 
 
+def is_reader(relay, *, now_s):
+    """Tell whether this node reads the registry for the whole fleet.
+
+    It is the first of the nodes that work for others whose own reads work. Nodes may
+    disagree for a moment; then there is a read more, or knowledge grows old and is read
+    by the next one.
+    """
+    own_order = (-round(relay.settings.link_mbps), relay.order)
+    hubs = find_hubs(relay, now_s=now_s)
+    if hubs.get(relay.settings.failure_domain) is not None or relay.is_leaving:
+        return False
+    return relay.registry.is_reachable and all(
+        own_order < (-hub.link_mbps, hub.order)
+        for hub in hubs.values()
+        if hub is not None and hub.reads_store
+    )
+
+
 def must_read(relay, *, now_s):
     """Tell whether this node has to read the registry itself now."""
     source = relay.registry
-    if source.offset < 0 or is_hub(relay, now_s=now_s):
+    if source.offset < 0 or is_reader(relay, now_s=now_s):
         return True
-    return now_s - source.read_s > FRESH_S
+    age_s = now_s - source.read_s
+    return age_s > (FRESH_S if is_hub(relay, now_s=now_s) else FRESH_ALONE_S)
 
 
 def tell_return(relay, *, now_s):
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -116,9 +116,12 @@
             window.extra = settings.retry_extra
             window.window_s = settings.retry_window_s
 
-    def make_store(self):
-        """Return a client of the store."""
-        return self.adapter.StoreClient(self.settings.store_address)
+    def make_store(self, purpose):
+        """Return a client of the store, whose calls are counted for a purpose."""
+        return self.adapter.StoreClient(
+            self.settings.store_address,
+            note_call=lambda verb: self.counters.add(f"store.calls.{purpose}.{verb}"),
+        )
 
     def lags_behind(self, *, now_s):
         """Tell whether a peer knows more of what operators wrote than this node."""
--- a/lycheetide/relay/tests/test_sharing.py
+++ b/lycheetide/relay/tests/test_sharing.py
@@ -7,7 +7,7 @@
 
 from lycheetide.board import Changed
 from lycheetide.relay._sharing import is_hub, must_read
-from standins.relayed import Relayed
+from standins.relayed import Relayed, make_config
 
 pytestmark = pytest.mark.anyio
 
@@ -119,3 +119,35 @@
         )
     assert calls <= 2 * 8 + 4 * 2 * 4
     assert took_s < 1.5
+
+
+async def test_a_node_that_starts_among_others_lists_little_at_the_store():
+    """A release replaces all nodes, and each lists all topics at the store anew."""
+    async with Relayed(relays=2) as fleet:
+        reader, _ = await start_fleet(fleet)
+        before = len(fleet.store.calls)
+        late = await fleet.start_relay()
+        calls = fleet.store.calls[before:]
+        lists = [one for one in calls if "newest" in one and "nodes" not in one]
+        assert late.table.routing.version == reader.table.routing.version
+        assert set(late.replicas.replicas) == set(reader.replicas.replicas)
+    assert lists == []
+
+
+async def test_configurations_in_quick_succession_are_read_together():
+    """Operators change the configuration twelve times a second.
+
+    Each node reads every one of them, though only the last one counts.
+    """
+    async with Relayed(relays=2) as fleet:
+        await start_fleet(fleet)
+        before = len(fleet.store.calls)
+        for version in range(2, 22):
+            fleet.store.put("keyed.op", "config", make_config(version=version))
+            await anyio.sleep(0.08)
+        took_s = await fleet.wait_for(
+            lambda: all(relay.table.routing.version == 21 for relay in fleet.relays)
+        )
+        reads = [one for one in fleet.store.calls[before:] if "keyed.op" in one]
+    assert took_s < 1.0
+    assert len(reads) <= 2 * 8
