Draw a place among enough for all that a node doesn't know of yet

Cause: nodes that choose by late news all find the same replica the best. It was drawn among one more replica than requests on their way, each taken as empty, with a fixed 15 ms for how late news is. Change: a place is drawn, not a replica, among as many free places as are four times what may be on its way; how late news is follows from what it takes longer than the soonest message of each node (a time that others ignore, at the end of the message); a burst's rate counts over 0.1 s, and one node in fifty may have sent what no rate shows.

--- a/lycheetide/board/__init__.py
+++ b/lycheetide/board/__init__.py
@@ -6,6 +6,7 @@
 
 from lycheetide.board._board import START_WINDOW_S, Board, Job, make_job
 from lycheetide.board._column import Unread
+from lycheetide.board._delays import Delays, make_sent_ms
 from lycheetide.board._messages import (
     Bundle,
     Changed,
@@ -26,6 +27,7 @@
     "Board",
     "Bundle",
     "Changed",
+    "Delays",
     "Ended",
     "Hello",
     "Job",
@@ -40,5 +42,6 @@
     "decode_message",
     "encode_message",
     "make_job",
+    "make_sent_ms",
     "order_node",
 ]
--- a/lycheetide/board/_board.py
+++ b/lycheetide/board/_board.py
@@ -2,12 +2,15 @@
 
 from collections import defaultdict, deque
 from dataclasses import dataclass
+from itertools import takewhile
 
 from lycheetide.board._column import Column
 from lycheetide.board._messages import Part, Started
 
 START_WINDOW_S = 1.0
 """Starts are counted over this time; cold limits are given per second."""
+BURST_WINDOW_S = 0.1
+"""A burst's rate is counted over this time."""
 SETTLE_S = 0.5
 """Age from which a request must stand in its node's list of what it has in flight; a
 message on its way takes less, also where it is gathered with others."""
@@ -190,10 +193,15 @@
         return sum(1 for at_s in column.starts if now_s - at_s <= window_s)
 
     def starts_per_s(self, *, now_s):
-        """Return how many requests all nodes sent within the last second."""
+        """Return at what rate all nodes send, over a second or a burst, if that's more.
+
+        When callers come back at once, most of a second still shows that nobody came.
+        """
         while self._starts and now_s - self._starts[0] > START_WINDOW_S:
             self._starts.popleft()
-        return len(self._starts) / START_WINDOW_S
+        begins_s = now_s - BURST_WINDOW_S
+        burst = sum(1 for _ in takewhile(begins_s.__lt__, reversed(self._starts)))
+        return max(len(self._starts) / START_WINDOW_S, burst / BURST_WINDOW_S)
 
     def forget(self, present, *, now_s):
         """Drop what is known of replicas that are gone and have nothing in flight.
--- a/lycheetide/board/_messages.py
+++ b/lycheetide/board/_messages.py
@@ -48,6 +48,9 @@
         there is none.
     weight_hundredths : int
         How many short requests it counts as, times a hundred.
+    sent_ms : int
+        When it was sent, by the sender's clock, as ``make_sent_ms`` tells; below 0
+        where it isn't told.
     """
 
     node: str
@@ -57,6 +60,7 @@
     due_in_ms: int = 60_000
     gap_ms: int = 0
     weight_hundredths: int = 100
+    sent_ms: int = -1
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True, tag="e"):
--- a/lycheetide/model/_relay_policies.py
+++ b/lycheetide/model/_relay_policies.py
@@ -10,7 +10,7 @@
     Placement,
     Size,
     choose_prompt,
-    count_among,
+    count_unknown,
     read_s,
 )
 from lycheetide.routes import Engine
@@ -42,6 +42,8 @@
         The shortest time in which a kind of prompt wants its first event.
     told_s : float
         How late nodes know of one another's work.
+    nodes : int
+        How many nodes place.
     luck : random.Random
         For what is left to chance.
     """
@@ -54,6 +56,7 @@
     starts_per_s: float
     shortest_target_s: float
     told_s: float
+    nodes: int
     luck: random.Random
 
 
@@ -69,7 +72,7 @@
         target_s=asked.target_s,
         patience_s=asked.patience_s,
         arrivals=Arrivals(asked.starts_per_s, asked.shortest_target_s),
-        among=count_among(asked.starts_per_s, asked.told_s),
+        unknown=count_unknown(asked.starts_per_s, asked.told_s, asked.nodes),
         draw=asked.luck.random(),
     )
     if placement is None or not placement.is_worthwhile(asked.patience_s):
--- a/lycheetide/model/_relays.py
+++ b/lycheetide/model/_relays.py
@@ -99,6 +99,8 @@
         How late each node knows of what others placed.
     load : float
         Factor on all arrivals.
+    nodes : int
+        How many nodes place them.
     """
 
     engine: Engine
@@ -106,6 +108,7 @@
     kinds: tuple[PromptKind, ...]
     told_s: float = 0.003
     load: float = 1.0
+    nodes: int = 9
 
 
 @dataclass
@@ -204,6 +207,7 @@
                 starts_per_s=self.board.starts_per_s(now_s=now_s),
                 shortest_target_s=min(kind.target_s for kind in self.model.kinds),
                 told_s=self.model.told_s,
+                nodes=self.model.nodes,
                 luck=self.luck,
             )
         )
--- a/lycheetide/placement/__init__.py
+++ b/lycheetide/placement/__init__.py
@@ -9,7 +9,7 @@
     pass_s,
     read_s,
 )
-from lycheetide.placement._pack import SHORT_READ_S, count_among
+from lycheetide.placement._pack import SHORT_READ_S, count_unknown
 from lycheetide.placement._retries import RetryWindow
 from lycheetide.placement._spread import HELPERS_MOST, SOON, spread_prompt
 from lycheetide.placement._tickets import needs_sharing, share_memory
@@ -39,7 +39,7 @@
     "caller_patience_s",
     "choose_plain",
     "choose_prompt",
-    "count_among",
+    "count_unknown",
     "first_event_s",
     "may_send",
     "needs_sharing",
--- a/lycheetide/placement/_choose.py
+++ b/lycheetide/placement/_choose.py
@@ -57,7 +57,7 @@
     patience_s: float = float("inf"),
     arrivals: Arrivals = Arrivals(),  # noqa: B008
     helpers_most: int = HELPERS_MOST,
-    among: int = 1,
+    unknown: float = 0.0,
     draw: float = 0.0,
 ):
     """Return where a prompt goes, or None where no replica has the memory.
@@ -80,10 +80,10 @@
         What comes to the service meanwhile.
     helpers_most : int
         How many other replicas may read a part.
-    among : int
-        Among how many replicas with room a short prompt is packed at random.
+    unknown : float
+        Requests that may be on their way and aren't counted in the candidates.
     draw : float
-        That random number, from 0 up to 1.
+        A random number, from 0 up to 1.
     """
     if read_s(engine, size.prompt_tokens) > SHORT_READ_S:
         return spread_prompt(
@@ -93,4 +93,4 @@
     fitting = [one for one in candidates if has_memory(engine, size, one)]
     if not fitting:
         return None
-    return pack_prompt(engine, size, fitting, among=among, draw=draw)
+    return pack_prompt(engine, size, fitting, unknown=unknown, draw=draw)
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lycheetide.board import Ended, Part, Started, make_job
+from lycheetide.board import Ended, Part, Started, make_job, make_sent_ms
 from lycheetide.exchange import Answer
 from lycheetide.httpclient import ChannelBroken, ConnectFailed, count_kept
 from lycheetide.placement import Placement
@@ -63,6 +63,7 @@
         due_in_ms=round((due_s - now_s) * 1e3),
         gap_ms=round(call.route.target_gap_s * 1e3),
         weight_hundredths=round(call.size.weight * 100),
+        sent_ms=make_sent_ms(now_s),
     )
     relay.board.start(make_job(started, now_s=now_s), now_s=now_s)
     relay.tell_work(started)
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -243,6 +243,9 @@
         match message:
             case Started():
                 board.start(make_job(message, now_s=now_s), now_s=now_s)
+                if message.sent_ms >= 0 and message.node != self.relay.node:
+                    delays = self.relay.delays
+                    delays.note(message.node, message.sent_ms, now_s=now_s)
             case Ended(node, job):
                 board.end(node, job, now_s=now_s)
             case Suspected(_, replica):
@@ -321,6 +324,7 @@
             living = self.relay.living_nodes(now_s=now_s)
             self.relay.board.expire(now_s=now_s, living=living)
             self.relay.forget_gone(now_s=now_s)
+            self.relay.delays.forget(living)
             self._log_new_peers(len(living))
             await self.relay.pool.sweep(now_s=now_s)
 
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -9,7 +9,7 @@
     caller_patience_s,
     choose_plain,
     choose_prompt,
-    count_among,
+    count_unknown,
     may_send,
     share_cold_limits,
 )
@@ -104,8 +104,10 @@
         patience_s=find_patience_s(call),
         arrivals=count_arrivals(relay, call, candidates, now_s=now_s),
         helpers_most=0 if call.helpers_refused else HELPERS_MOST,
-        among=count_among(
-            relay.board.starts_per_s(now_s=now_s), find_told_s(relay, now_s=now_s)
+        unknown=count_unknown(
+            relay.board.starts_per_s(now_s=now_s),
+            find_told_s(relay, now_s=now_s),
+            len(relay.peers.alive(now_s=now_s)) + 1,
         ),
         draw=relay.random.random(),
     )
--- a/lycheetide/relay/_spreading.py
+++ b/lycheetide/relay/_spreading.py
@@ -94,8 +94,12 @@
 
 
 def find_told_s(relay, *, now_s):
-    """Return how late this node knows of what others place."""
-    return TOLD_S + (GATHER_S if is_large(relay, now_s=now_s) else 0.0)
+    """Return how late this node knows of what others place.
+
+    A link that is full, or a hub that is slow, makes it later than it has to be.
+    """
+    gathered_s = GATHER_S if is_large(relay, now_s=now_s) else 0.0
+    return TOLD_S + gathered_s + relay.delays.mean_s()
 
 
 def make_bundles(node, messages):
