--- a/lycheetide/cli/_main.py
+++ b/lycheetide/cli/_main.py
@@ -204,11 +204,17 @@
         Whether to print JSON.
     plot_path : str
         Where a plot goes besides; empty for none.
+    probes : list of str
+        Routes whose requests only probe which configuration is in force.
     """
 
     logs: list[str]
     as_json: Annotated[bool, cappa.Arg(long="--json", help="print JSON")] = False
     plot_path: Annotated[str, cappa.Arg(long="--plot", help="draw a PNG")] = ""
+    probes: Annotated[
+        list[str],
+        cappa.Arg(long="--probe", help="a route that only probes; counted apart"),
+    ] = field(default_factory=list)
 
     def __call__(self):
         """Read the logs and print the account."""
@@ -217,7 +223,7 @@
         from lycheetide.losses import print_summary, read_events, summarize
 
         with open_logs(self.logs) as files:
-            summary = summarize(read_events(files))
+            summary = summarize(read_events(files), probes=frozenset(self.probes))
         if self.as_json:
             print(msgspec.json.format(msgspec.json.encode(summary)).decode())
         else:
@@ -227,6 +233,51 @@
             draw_losses(self.logs, self.plot_path)
 
 
+@cappa.command(
+    name="prices",
+    help="Sum up what a fleet used that is paid for, from its processes' saved logs.",
+    description="Example: lycheetide prices entry-1.log entry-2.log --plot prices.png",
+)
+@dataclass
+class PricesCommand:
+    """Account for what was used.
+
+    Parameters
+    ----------
+    logs : list of str
+        Saved logs, a file a process, each in order.
+    as_json : bool
+        Whether to print JSON.
+    plot_path : str
+        Where a plot goes besides; empty for none.
+    """
+
+    logs: list[str]
+    as_json: Annotated[bool, cappa.Arg(long="--json", help="print JSON")] = False
+    plot_path: Annotated[str, cappa.Arg(long="--plot", help="draw a PNG")] = ""
+
+    def __call__(self):
+        """Read the logs and print the account."""
+        import msgspec
+
+        from lycheetide.losses import (
+            print_prices,
+            read_events,
+            save_price_plot,
+            sum_prices,
+        )
+
+        with open_logs(self.logs) as files:
+            prices = sum_prices(read_events(files))
+        if self.as_json:
+            print(msgspec.json.format(msgspec.json.encode(prices)).decode())
+        else:
+            for line in print_prices(prices):
+                print(line)
+        if self.plot_path:
+            save_price_plot(prices, self.plot_path)
+
+
 @contextmanager
 def open_logs(paths):
     """Open logs, or exit; they are closed behind the block."""
@@ -345,6 +396,7 @@
         | StatusCommand
         | ExplainCommand
         | LossesCommand
+        | PricesCommand
         | LoadCommand
     ]
 
--- a/lycheetide/losses/_summary.py
+++ b/lycheetide/losses/_summary.py
@@ -33,14 +33,18 @@
         self.engine_s[read.request] += read.part_s
 
 
-def summarize(events: Iterable[Event]) -> Summary:
+def summarize(events: Iterable[Event], *, probes=frozenset()) -> Summary:
     """Return the account of a stream of events.
 
     Parameters
     ----------
     events : iterable of Event
         In the order of their times.
+    probes : set of str
+        Routes whose requests only probe which configuration is in force. What they
+        don't get is no loss; it is counted apart.
     """
+    probed = 0
     ended = Counter[str]()
     reading = _Reading()
     groups: dict[str, dict[str, Counter]] = defaultdict(lambda: defaultdict(Counter))
@@ -49,6 +53,9 @@
         events, note_end=lambda: ended.update(["all"]), note_read=reading.note
     )
     for loss in losses:
+        if loss.route in probes:
+            probed += 1
+            continue
         names = {
             "cause": loss.cause,
             "kind": loss.kind,
@@ -60,7 +67,7 @@
             groups[group][name][loss.cause] += 1
         if loss.blamed:
             blamed[loss.blamed] += 1
-    return _make_summary(ended["all"], groups, blamed, reading)
+    return _make_summary(ended["all"], probed, groups, blamed, reading)
 
 
 def _name_window(at_s):
@@ -69,7 +76,7 @@
     return datetime.fromtimestamp(begins_s).strftime("%H:%M:%S")
 
 
-def _make_summary(requests, groups, blamed, reading):
+def _make_summary(requests, probed, groups, blamed, reading):
     """Return the summary of what was counted."""
     by_cause = {name: sum(counts.values()) for name, counts in groups["cause"].items()}
     lost = sum(by_cause.values())
@@ -86,6 +93,7 @@
     )
     return Summary(
         requests=requests,
+        probed=probed,
         lost=lost,
         known_share=1.0 - unknown / lost if lost else 1.0,
         beyond_decisions=sum(by_cause.get(cause, 0) for cause in BEYOND_DECISIONS),
@@ -124,6 +132,8 @@
         f"{summary.known_share:.0%} is known; {summary.beyond_decisions} by what no "
         "choice could have prevented"
     )
+    if summary.probed:
+        yield f"{summary.probed} probes without a good answer are left out"
     tables = (
         ("cause", summary.causes),
         ("noticed as", summary.kinds),
--- a/lycheetide/losses/_types.py
+++ b/lycheetide/losses/_types.py
@@ -172,6 +172,8 @@
     ----------
     requests, lost : int
         Requests that ended or were left open, and those that were lost.
+    probed : int
+        Requests without a good answer that only probed the configuration; no losses.
     known_share : float
         Part of the lost whose cause is known.
     beyond_decisions : int
@@ -184,6 +186,7 @@
 
     requests: int
     lost: int
+    probed: int
     known_share: float
     beyond_decisions: int
     causes: tuple[Row, ...]
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -56,6 +56,19 @@
 """Datagrams taken in one turn, some 4 ms of work."""
 LARGEST_DATAGRAM_BYTES = 65_535
 EXPIRE_S = 0.5
+HEAD_BYTES = 28
+"""What the network adds to each datagram."""
+KINDS = {
+    b"s": "work",
+    b"e": "work",
+    b"b": "work",
+    b"x": "suspicions",
+    b"c": "changes",
+    b"h": "greetings",
+}
+"""What a message is about, by its tag."""
+LONG_ARRAY = 0xDC
+"""First byte of a message of more than 15 fields; its length takes two more."""
 DISCOVER_RETRY_S = 2.0
 
 
@@ -100,6 +113,11 @@
     def send(self, data, address):
         """Send one datagram without waiting; one that doesn't go out is counted."""
         host, _, port = address.rpartition(":")
+        peer = self.relay.peers.peers.get(address)
+        near = self.relay.settings.failure_domain
+        place = "near" if peer is not None and peer.failure_domain == near else "far"
+        kind = find_kind(data)
+        self.relay.used.add(f"bytes.{place}.{kind}", len(data) + HEAD_BYTES)
         try:
             self._sender.sendto(data, (host, int(port)))
         except OSError:
@@ -326,6 +344,7 @@
             self.relay.forget_gone(now_s=now_s)
             self.relay.delays.forget(living)
             self._log_new_peers(len(living))
+            self.relay.used.log(self.relay, now_s=now_s)
             await self.relay.pool.sweep(now_s=now_s)
 
     def _log_new_peers(self, living):
@@ -337,6 +356,20 @@
             self._new_peers = 0
 
 
+def find_kind(data):
+    """Return what a datagram is about.
+
+    Examples
+    --------
+    >>> find_kind(encode_message(Ended("n", "1")))
+    'work'
+    >>> find_kind(encode_message(Hello("", "", "", "", 0, 0, 0.0)))
+    'greetings'
+    """
+    begins = 4 if data[0] == LONG_ARRAY else 2
+    return KINDS.get(data[begins : begins + 1], "other")
+
+
 def make_listener(address):
     """Return the socket that takes peers' datagrams.
 
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -12,7 +12,7 @@
 from lycheetide.relay._gossip import Gossip, discover, make_listener
 from lycheetide.relay._ingress import make_ingress, make_readiness
 from lycheetide.relay._reload import reload_settings, watch_settings
-from lycheetide.relay._state import RelayState
+from lycheetide.relay._state import RelayState, read_clock
 from lycheetide.tasks import GuardedTasks, keep_running
 
 EXIT_MARGIN_S = 0.7
@@ -111,6 +111,7 @@
             # parts; cancelled, they would be cut.
             stopped.set()
         group.cancel_scope.cancel()
+    relay.used.log(relay, now_s=read_clock(), is_last=True)
     await relay.pool.aclose()
     listener.close()
     gossip.close()
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -18,6 +18,7 @@
     UnreadPrompt,
     rank_replicas,
 )
+from lycheetide.relay._used import Used
 from lycheetide.replicas import ReplicaTable, drop_dark_domains
 from lycheetide.routes import RouteTable
 
@@ -92,6 +93,7 @@
         self.delays = Delays()
         self.peers = Peers(settings.peer_address, fleet=settings.store_address)
         self.pool = ChannelPool()
+        self.used = Used(now_s=read_clock())
         self.active = 0
         self.is_leaving = False
         self.told_to_stop = anyio.Event()
@@ -121,7 +123,7 @@
         """Return a client of the store, whose calls are counted for a purpose."""
         return self.adapter.StoreClient(
             self.settings.store_address,
-            note_call=lambda verb: self.counters.add(f"store.calls.{purpose}.{verb}"),
+            note_call=lambda verb: self.used.add(f"store.{purpose}.{verb}"),
         )
 
     def lags_behind(self, *, now_s):
