Let a few nodes wait for operators' records, and tell the others

What callers paid for: after one reader of the registry, most calls to the store were those of each node for operators' records: a waiting read each 20 s, one more for each configuration, and retries of those that the store turned away. Cause: every node waited for itself, 195 of them in a large fleet. Change: the hubs wait, and the first three nodes of the fleet in any case. They greet at once with what they know; the others take it from a peer, the nearest first, or read it from the store where it is too large for the peer's link to give to all its domain (0.3 s of it). A node that hears of none of them waits for itself. Those that the store turns away insist, and are given what is large too. Ruled out: peers give everything (500 kB to 38 peers take 15 s on 10 Mbit/s); one reader only (frozen, it would hold a taken key back beyond 2 s). Before, tests: each of 7 nodes asked anew after a configuration, all of 195 waited.

--- a/lycheetide/board/_messages.py
+++ b/lycheetide/board/_messages.py
@@ -115,7 +115,7 @@
     link_mbps : int
         How wide its link is, in Mbit/s; 0 where it isn't told.
     reads_store : bool
-        Whether its last read of the registry worked.
+        Whether the store served it when it last asked.
 
     Notes
     -----
--- a/lycheetide/board/_peers.py
+++ b/lycheetide/board/_peers.py
@@ -43,7 +43,7 @@
     link_mbps : int
         How wide its link is, in Mbit/s; 0 where it isn't known.
     reads_store : bool
-        Whether its last read of the registry worked.
+        Whether the store served it when it last asked.
     """
 
     node: str
--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -10,7 +10,13 @@
 
 from lycheetide.exchange import Batch, StoreUnavailable
 from lycheetide.httpclient import ChannelBroken, ConnectFailed, Outgoing
-from lycheetide.relay._sharing import decode_changes, is_hub, make_changes, must_read
+from lycheetide.relay._sharing import (
+    decode_changes,
+    is_hub,
+    make_changes,
+    must_read,
+    waits_for_operators,
+)
 from lycheetide.relay._state import read_clock
 from lycheetide.routes import RouteTable
 
@@ -30,6 +36,13 @@
 """How long a node that starts waits for a peer that knows more than it; seeds answer
 within some 5 ms. Where all nodes start at once nobody knows, and callers wait."""
 START_LOOK_S = 0.01
+LOOK_S = 0.25
+"""Pause after which a node looks whether it has to wait for operators' records now."""
+GIVEN_S = 0.3
+"""How long a node's link may be full with what it gives its peers of one topic. What is
+larger they read from the store, each over its own link."""
+LINK_MBPS = 1_000.0
+"""Taken for the width of a link that isn't known."""
 OUTAGE_S = 1.5
 """Reads that failed for so long were an outage, in which entries may have lapsed."""
 PEER_CALL_S = 1.0
@@ -38,22 +51,44 @@
 the replicas of the largest fleet that we design for."""
 
 STATE_TARGETS = {"operator": b"/v1/operator", "registry": b"/v1/registry"}
+INSISTS = b"?whole"
+"""Behind a target: the one who asks has nobody else to ask."""
 
 
 async def follow_operator(relay):
-    """Follow the configuration and the failure domains taken out, for ever."""
+    """Follow the configuration and the failure domains taken out, for ever.
+
+    Some nodes wait for them at the store; the others take over what those know.
+    """
     store = relay.make_store("operator")
     await begin_at_peers(relay, "operator")
     while True:
-        with anyio.CancelScope() as relay.operator_read:
-            offset = relay.operator.offset
-            await read_once(
-                relay, store, "operator", wait_s=relay.settings.operator_wait_s
-            )
-            if 0 <= offset < relay.operator.offset:
-                await anyio.sleep(GATHER_CHANGES_S)
-        if relay.operator_read.cancelled_caught:
-            await read_from_peer(relay, "operator")
+        offset = relay.operator.offset
+        if offset < 0 or waits_for_operators(relay, now_s=read_clock()):
+            with anyio.CancelScope() as relay.operator_read:
+                await read_once(
+                    relay, store, "operator", wait_s=relay.settings.operator_wait_s
+                )
+            was_cancelled = relay.operator_read.cancelled_caught
+            relay.operator_read = None
+            if was_cancelled:
+                await read_from_peer(relay, "operator")
+        elif relay.lags_behind(now_s=read_clock()):
+            await catch_up(relay, store)
+        else:
+            with anyio.move_on_after(LOOK_S):
+                await relay.operator_news.wait()
+        if 0 <= offset < relay.operator.offset:
+            await anyio.sleep(GATHER_CHANGES_S)
+
+
+async def catch_up(relay, store):
+    """Take over what operators wrote: from a peer, or else from the store."""
+    relay.operator_news = anyio.Event()
+    offset = relay.operator.offset
+    await read_from_peer(relay, "operator", insists=False)
+    if relay.operator.offset == offset:
+        await read_once(relay, store, "operator", wait_s=0.0)
 
 
 async def follow_registry(relay):
@@ -310,37 +345,50 @@
     with anyio.move_on_after(START_ASK_S):
         while find_knowing(relay, name) is None:
             await anyio.sleep(START_LOOK_S)
-    await read_from_peer(relay, name)
+    await read_from_peer(relay, name, insists=False)
+
 
+async def read_from_peer(relay, name, *, insists=True):
+    """Ask a peer that knows more than this node.
 
-async def read_from_peer(relay, name):
-    """Ask a peer that knows more than this node."""
+    Parameters
+    ----------
+    relay : RelayState
+        This node.
+    name : str
+        Which topic.
+    insists : bool
+        Whether the store doesn't serve this node, so that the peer has to give what is
+        large too.
+    """
     peer = find_knowing(relay, name)
     if peer is not None:
-        await read_whole(relay, name, peer.address)
+        await read_whole(relay, name, peer.address, insists=insists)
 
 
 def find_knowing(relay, name):
     """Return the peer that knows most of one topic, or None where none knows more."""
     offset = f"{name}_offset"
     known = getattr(relay, name).offset
+    domain = relay.settings.failure_domain
     return max(
         (
             peer
             for peer in relay.peers.alive(now_s=read_clock())
             if getattr(peer, offset) > known
         ),
-        key=lambda peer: getattr(peer, offset),
+        key=lambda peer: (getattr(peer, offset), peer.failure_domain == domain),
         default=None,
     )
 
 
-async def read_whole(relay, name, address):
+async def read_whole(relay, name, address, *, insists=True):
     """Take in all that a peer knows of one topic."""
     peer = relay.peers.peers.get(address)
     known_s = float("-inf") if peer is None else peer.registry_read_s
     try:
-        batch = await fetch_state(relay, address, STATE_TARGETS[name])
+        target = STATE_TARGETS[name] + (INSISTS if insists else b"")
+        batch = await fetch_state(relay, address, target)
     except (ConnectFailed, ChannelBroken, msgspec.MsgspecError) as error:
         relay.log.info(
             "A peer gave no state.", extra={"peer": address, "cause": str(error)}
@@ -364,6 +412,19 @@
     return msgspec.msgpack.decode(data, type=Batch)
 
 
+def find_largest_given(relay):
+    """Return how many bytes this node gives each of its peers that can ask the store.
+
+    All of its failure domain ask at one moment, when the configuration changes.
+    """
+    domain = relay.settings.failure_domain
+    near = sum(
+        peer.failure_domain == domain for peer in relay.peers.alive(now_s=read_clock())
+    )
+    link_mbps = relay.settings.link_mbps or LINK_MBPS
+    return GIVEN_S * link_mbps * 1e6 / 8 / max(1, near)
+
+
 def make_peer_app(relay):
     """Return the application that gives peers what this node knows."""
 
@@ -377,6 +438,9 @@
             source = getattr(relay, name)
             batch = Batch(tuple(source.records.values()), source.offset, True)
             status, body = 200, msgspec.msgpack.encode(batch)
+            insists = scope["query_string"] == INSISTS[1:]
+            if not insists and len(body) > find_largest_given(relay):
+                status, body = 503, b""
         headers = [(b"content-length", str(len(body)).encode())]
         await send(
             {"type": "http.response.start", "status": status, "headers": headers}
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -229,7 +229,7 @@
             living=() if peers else self._list_living(now_s=now_s),
             jobs=jobs if len(jobs) <= JOBS_MOST else None,
             link_mbps=round(relay.settings.link_mbps),
-            reads_store=relay.registry.is_reachable,
+            reads_store=relay.reads_store,
         )
 
     def close(self):
@@ -296,6 +296,8 @@
         is_new = relay.peers.hear(hello, now_s=now_s)
         self._new_peers += is_new
         relay.peers.vouch(hello.living, now_s=now_s)
+        if hello.operator_offset > relay.operator.offset:
+            relay.operator_news.set()
         if hello.jobs is not None:
             lost = relay.board.settle(hello.node, frozenset(hello.jobs), now_s=now_s)
             if lost:
--- a/lycheetide/relay/_sharing.py
+++ b/lycheetide/relay/_sharing.py
@@ -16,6 +16,8 @@
 after 2 s."""
 FRESH_ALONE_S = 1.5
 """The same for all others, which hear of that node's read before."""
+OPERATOR_READERS = 3
+"""Nodes that wait for operators' records in a fleet of one failure domain."""
 DIFFERS_S = 0.15
 """Digests that differ for so long aren't about to agree by a message on its way."""
 HUB_SILENT_S = 1.2
@@ -74,13 +76,31 @@
     hubs = find_hubs(relay, now_s=now_s)
     if hubs.get(relay.settings.failure_domain) is not None or relay.is_leaving:
         return False
-    return relay.registry.is_reachable and all(
+    return relay.reads_store and all(
         own_order < (-hub.link_mbps, hub.order)
         for hub in hubs.values()
         if hub is not None and hub.reads_store
     )
 
 
+def waits_for_operators(relay, *, now_s):
+    """Tell whether this node waits at the store for operators' next record.
+
+    The nodes that work for others do, and with them the first ones of the fleet, so
+    that there are several: what operators wrote must be in force within 2 s, also while
+    one of them is frozen or cut off. All others hear of it from them.
+    """
+    if is_hub(relay, now_s=now_s):
+        return True
+    own_order = (-round(relay.settings.link_mbps), relay.order)
+    before = sum(
+        (-peer.link_mbps, peer.order) < own_order
+        for peer in relay.peers.alive(now_s=now_s, within_s=HUB_SILENT_S)
+        if not peer.is_leaving and peer.reads_store
+    )
+    return before < OPERATOR_READERS
+
+
 def must_read(relay, *, now_s):
     """Tell whether this node has to read the registry itself now."""
     source = relay.registry
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -102,6 +102,7 @@
         self.tell_change = None
         self.tell_news = None
         self.operator_read = None
+        self.operator_news = anyio.Event()
         self.differs_since_s = None
         self._windows: dict[str, RetryWindow] = {}
         self._ranks: tuple[frozenset, dict] = (frozenset(), {})
@@ -126,6 +127,11 @@
             note_call=lambda verb: self.used.add(f"store.{purpose}.{verb}"),
         )
 
+    @property
+    def reads_store(self):
+        """Whether the store served this node when it last asked."""
+        return not (self.registry.failures or self.operator.failures)
+
     def lags_behind(self, *, now_s):
         """Tell whether a peer knows more of what operators wrote than this node."""
         return any(
--- a/lycheetide/relay/tests/test_readers.py
+++ b/lycheetide/relay/tests/test_readers.py
@@ -11,9 +11,11 @@
     FRESH_ALONE_S,
     FRESH_S,
     HUB_SILENT_S,
+    OPERATOR_READERS,
     is_hub,
     is_reader,
     must_read,
+    waits_for_operators,
 )
 from lycheetide.relay.tests.test_spreading import DOMAINS, make_fleet, make_hello
 
@@ -68,7 +70,7 @@
     nodes = list(make_fleet(22).values())
     now_s = time.monotonic()
     (reader,) = find_readers(nodes, now_s=now_s)
-    reader.registry.is_reachable = False
+    reader.reads_store = False
     let_hear(nodes, [reader], now_s=now_s)
     (following,) = find_readers(nodes, now_s=now_s)
     assert following is not reader
@@ -107,3 +109,26 @@
     (node, *_) = make_fleet(22).values()
     later_s = time.monotonic() + HUB_SILENT_S + 0.1
     assert must_read(node, now_s=later_s)
+
+
+@pytest.mark.parametrize("size", [2, 9, 22, 195])
+def test_few_nodes_wait_for_operators_records(size):
+    """Each of 195 nodes waited at the store, and read each configuration there."""
+    nodes = list(make_fleet(size).values())
+    now_s = time.monotonic()
+    waiting = [node for node in nodes if waits_for_operators(node, now_s=now_s)]
+    assert min(size, 3) <= len(waiting) <= len(DOMAINS) + OPERATOR_READERS - 1
+
+
+def test_several_wait_in_a_fleet_of_one_failure_domain():
+    """The only one that waits is frozen, and a key that was taken away stays valid."""
+    nodes = list(make_fleet(9, domains=("a",)).values())
+    now_s = time.monotonic()
+    waiting = [node for node in nodes if waits_for_operators(node, now_s=now_s)]
+    assert len(waiting) == 3
+
+
+def test_a_node_that_hears_nobody_waits_for_itself():
+    """A node is cut off from its peers, and would never hear of a configuration."""
+    (node, *_) = make_fleet(60).values()
+    assert waits_for_operators(node, now_s=time.monotonic() + HUB_SILENT_S + 0.1)
--- a/lycheetide/relay/tests/test_sharing.py
+++ b/lycheetide/relay/tests/test_sharing.py
@@ -6,7 +6,8 @@
 import pytest
 
 from lycheetide.board import Changed
-from lycheetide.relay._sharing import is_hub, must_read
+from lycheetide.relay import _follow
+from lycheetide.relay._sharing import is_hub, must_read, waits_for_operators
 from standins.relayed import Relayed, make_config
 
 pytestmark = pytest.mark.anyio
@@ -151,3 +152,103 @@
         reads = [one for one in fleet.store.calls[before:] if "keyed.op" in one]
     assert took_s < 1.0
     assert len(reads) <= 2 * 8
+
+
+def list_operator_calls(fleet, since):
+    """Return the calls for operators' records since there were so many calls."""
+    return [one for one in fleet.store.calls[since:] if "keyed.op" in one]
+
+
+async def test_a_configuration_is_read_at_few_nodes_and_in_force_at_all():
+    """Each node of a fleet read each configuration at the store."""
+    async with Relayed(relays=7) as fleet:
+        await start_fleet(fleet)
+        await end_first_waits(fleet)
+        before = len(fleet.store.calls)
+        fleet.store.put("keyed.op", "config", make_config(version=2))
+        took_s = await wait_for_version(fleet, fleet.relays, 2)
+        await anyio.sleep(0.5)
+        calls = list_operator_calls(fleet, before)
+    assert took_s < 0.6
+    assert len(calls) <= 4
+
+
+async def end_first_waits(fleet):
+    """Let the reads return that nodes began before they knew one another."""
+    fleet.store.put("keyed.op", "evacuate/none", {})
+    await anyio.sleep(2 * _follow.GATHER_CHANGES_S)
+
+
+async def wait_for_version(fleet, relays, version):
+    """Wait until a configuration is in force at nodes; return how long it took."""
+    return await fleet.wait_for(
+        lambda: all(relay.table.routing.version == version for relay in relays)
+    )
+
+
+async def test_a_large_configuration_is_read_from_the_store(monkeypatch):
+    """A hub gives 38 peers a configuration of 500 kB, over a link of 10 Mbit/s."""
+    monkeypatch.setattr(_follow, "LINK_MBPS", 0.01)
+    async with Relayed(relays=5) as fleet:
+        await start_fleet(fleet)
+        await end_first_waits(fleet)
+        gave = sum_given(fleet)
+        before = len(fleet.store.calls)
+        fleet.store.put("keyed.op", "config", make_config(version=2))
+        took_s = await wait_for_version(fleet, fleet.relays, 2)
+        calls = list_operator_calls(fleet, before)
+        assert sum_given(fleet) == gave
+    assert took_s < 1.0
+    assert len(calls) >= 2
+
+
+def sum_given(fleet):
+    """Return how often nodes got operators' records from peers."""
+    return sum(relay.counters.counts["peers.gave.operator"] for relay in fleet.relays)
+
+
+async def test_a_node_that_the_store_turns_away_gets_a_large_configuration(monkeypatch):
+    """The store serves some nodes only; the others have to hear of taken keys too."""
+    monkeypatch.setattr(_follow, "LINK_MBPS", 0.01)
+    async with Relayed(relays=5) as fleet:
+        await start_fleet(fleet)
+        await end_first_waits(fleet)
+        now_s = time.monotonic()
+        away = [r for r in fleet.relays if not waits_for_operators(r, now_s=now_s)]
+        assert away
+
+        async def turn_away(relay, store, name, *, wait_s, read=_follow.read_once):
+            if relay in away:
+                store.address = "127.0.0.1:9"
+                await store.aclose()
+            await read(relay, store, name, wait_s=wait_s)
+
+        monkeypatch.setattr(_follow, "read_once", turn_away)
+        fleet.store.put("keyed.op", "config", make_config(version=2))
+        took_s = await wait_for_version(fleet, fleet.relays, 2)
+    assert took_s < 1.5
+
+
+async def test_a_configuration_is_in_force_soon_though_its_readers_are_frozen():
+    """All nodes that wait for operators' records say nothing any more.
+
+    The others notice, wait for the records themselves, and have them within 2 s.
+    """
+    async with Relayed(relays=6) as fleet:
+        await start_fleet(fleet)
+        await end_first_waits(fleet)
+        now_s = time.monotonic()
+        readers = [r for r in fleet.relays if waits_for_operators(r, now_s=now_s)]
+        others = [relay for relay in fleet.relays if relay not in readers]
+        assert (len(readers), len(others)) == (3, 3)
+        frozen = {relay.node for relay in readers}
+        for relay in others:
+            hear = relay.peers.hear
+
+            def ignore(hello, *, now_s, hear=hear):
+                return hello.node not in frozen and hear(hello, now_s=now_s)
+
+            relay.peers.hear = ignore
+        fleet.store.put("keyed.op", "config", make_config(version=2))
+        took_s = await wait_for_version(fleet, others, 2)
+    assert took_s < 1.9
--- a/lycheetide/relay/tests/test_spreading.py
+++ b/lycheetide/relay/tests/test_spreading.py
@@ -49,7 +49,8 @@
             failure_domain=domains[index % len(domains)], link_mbps=link_mbps
         ),
         peers=Peers(f"10.0.0.{index}:7"),
-        registry=SimpleNamespace(offset=1, read_s=0.0, is_reachable=True),
+        registry=SimpleNamespace(offset=1, read_s=0.0),
+        reads_store=True,
         sent=[],
     )
 
@@ -58,7 +59,7 @@
     return Hello(
         "", node.node, node.peers.own_address, node.settings.failure_domain, 1, 1, 0.0,
         is_leaving=node.is_leaving, link_mbps=round(node.settings.link_mbps),
-        reads_store=node.registry.is_reachable,
+        reads_store=node.reads_store,
     )  # fmt: skip
 
 
