Grant memory for huge prompts in one order, and load the metrics' library late

Cause: all that waited tried at random moments, and each try held shares that another one lacked. Change: whoever waits takes a number above all that it knows of, tells it, and tries only when there is room for all before it and itself. An older node counts the new message as broken and goes on as before. Ruled out: partial shares for the oldest (held by a node that dies, they block others).

--- a/lycheetide/board/__init__.py
+++ b/lycheetide/board/__init__.py
@@ -16,10 +16,12 @@
     Part,
     Started,
     Suspected,
+    Wants,
     decode_message,
     encode_message,
 )
 from lycheetide.board._peers import Peer, Peers, order_node
+from lycheetide.board._queue import MemoryQueue, Waiting
 from lycheetide.board._trust import Trust
 
 __all__ = [
@@ -31,6 +33,7 @@
     "Ended",
     "Hello",
     "Job",
+    "MemoryQueue",
     "Message",
     "Part",
     "Peer",
@@ -39,6 +42,8 @@
     "Suspected",
     "Trust",
     "Unread",
+    "Waiting",
+    "Wants",
     "decode_message",
     "encode_message",
     "make_job",
--- a/lycheetide/board/_messages.py
+++ b/lycheetide/board/_messages.py
@@ -77,6 +77,25 @@
     replica: str
 
 
+class Wants(msgspec.Struct, frozen=True, array_like=True, tag="w"):
+    """A request waits for memory of several replicas; told again while it does.
+
+    Parameters
+    ----------
+    node, job : str
+        Whose it is, and its name there; its end is told as any other's.
+    number : int
+        Its place in the order.
+    tokens : int
+        What it wants.
+    """
+
+    node: str
+    job: str
+    number: int
+    tokens: int
+
+
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
     """A node is alive.
 
@@ -167,18 +186,18 @@
     ----------
     node : str
         Who sends it, which need not be who says it.
-    messages : tuple of Started, Ended or Suspected
+    messages : tuple of Started, Ended, Suspected or Wants
         What is told.
     spreads : bool
         Whether the receiver is to pass it on within its failure domain.
     """
 
     node: str
-    messages: tuple[Started | Ended | Suspected, ...]
+    messages: tuple[Started | Ended | Suspected | Wants, ...]
     spreads: bool = False
 
 
-Message = Started | Ended | Suspected | Hello | Changed | Bundle
+Message = Started | Ended | Suspected | Wants | Hello | Changed | Bundle
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- a/lycheetide/metrics/_exposition.py
+++ b/lycheetide/metrics/_exposition.py
@@ -1,9 +1,12 @@
-"""Counters and latency histograms as text, in the format that scrapers read."""
+"""Counters and latency histograms as text, in the format that scrapers read.
 
-import re
+The library that writes the text takes 4 MB, so it is loaded with the first question for
+it. Most nodes of a large fleet are never asked, and memory is paid for.
+"""
 
-from prometheus_client import CollectorRegistry, Histogram, generate_latest
-from prometheus_client.core import CounterMetricFamily
+import re
+from bisect import bisect_left
+from itertools import accumulate
 
 LATENCY_BOUNDS_S = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0,
@@ -24,6 +27,24 @@
     return f"lycheetide_{_BAD.sub('_', name)}"
 
 
+class Histogram:
+    """How many latencies were within each bound."""
+
+    def __init__(self):
+        self.counts = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        self.sum_s = 0.0
+
+    def add(self, seconds):
+        """Add a latency."""
+        self.counts[bisect_left(LATENCY_BOUNDS_S, seconds)] += 1
+        self.sum_s += seconds
+
+    def list_buckets(self):
+        """Return bounds, as scrapers write them, each with the latencies within it."""
+        bounds = [*map(str, LATENCY_BOUNDS_S), "+Inf"]
+        return list(zip(bounds, accumulate(self.counts), strict=True))
+
+
 class Exposition:
     """What a node's metrics address shows.
 
@@ -35,14 +56,24 @@
 
     def __init__(self, counters):
         self.counters = counters
-        self.registry = CollectorRegistry()
-        self.registry.register(self)
-        self._histograms = {}
+        self._histograms: dict[str, dict[str, Histogram]] = {}
 
     def collect(self):
-        """Yield the counters, for the registry."""
+        """Yield all metrics, for the library that writes them."""
+        from prometheus_client.core import (  # noqa: PLC0415
+            CounterMetricFamily,
+            HistogramMetricFamily,
+        )
+
         for name, count in sorted(self.counters.counts.items()):
             yield CounterMetricFamily(clean_name(name), name, value=count)
+        for name, kinds in sorted(self._histograms.items()):
+            family = HistogramMetricFamily(
+                f"{clean_name(name)}_seconds", name, labels=["kind"]
+            )
+            for kind, histogram in sorted(kinds.items()):
+                family.add_metric([kind], histogram.list_buckets(), histogram.sum_s)
+            yield family
 
     def observe(self, name, seconds, *, kind):
         """Add a latency to a histogram.
@@ -56,16 +87,18 @@
         kind : str
             One of a few, since each makes a row of buckets.
         """
-        histogram = self._histograms.get(name)
-        if histogram is None:
-            histogram = self._histograms[name] = Histogram(
-                f"{clean_name(name)}_seconds",
-                name,
-                ["kind"],
-                buckets=LATENCY_BOUNDS_S,
-                registry=self.registry,
-            )
-        histogram.labels(kind).observe(seconds)
+        kinds = self._histograms.setdefault(name, {})
+        if kind not in kinds:
+            kinds[kind] = Histogram()
+        kinds[kind].add(seconds)
+
+    def write_text(self):
+        """Return the text."""
+        from prometheus_client import CollectorRegistry, generate_latest  # noqa: PLC0415
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
 
     def make_app(self):
         """Return the application that serves the text."""
@@ -73,7 +106,7 @@
         async def metrics_app(scope, receive, send):
             if scope["type"] != "http":
                 return
-            body = generate_latest(self.registry)
+            body = self.write_text()
             headers = [
                 (b"content-type", b"text/plain; version=0.0.4"),
                 (b"content-length", str(len(body)).encode()),
--- a/lycheetide/metrics/tests/test_logs.py
+++ b/lycheetide/metrics/tests/test_logs.py
@@ -3,6 +3,8 @@
 import io
 import logging
 import os
+import subprocess
+import sys
 import time
 
 import pytest
@@ -89,3 +91,12 @@
     with pytest.raises(StopIteration):
         coroutine.send(None)
     return sent
+
+
+def test_the_library_that_writes_metrics_is_loaded_when_they_are_asked_for():
+    """Each of hundreds of nodes holds 4 MB that nearly none of them ever needs."""
+    program = (
+        "import sys, lycheetide.relay, lycheetide.platform;"
+        "raise SystemExit('prometheus_client' in sys.modules)"
+    )
+    assert subprocess.run([sys.executable, "-c", program], check=False).returncode == 0
--- a/lycheetide/placement/__init__.py
+++ b/lycheetide/placement/__init__.py
@@ -12,7 +12,7 @@
 from lycheetide.placement._pack import SHORT_READ_S, count_unknown
 from lycheetide.placement._retries import RetryWindow
 from lycheetide.placement._spread import HELPERS_MOST, SOON, spread_prompt
-from lycheetide.placement._tickets import needs_sharing, share_memory
+from lycheetide.placement._tickets import count_room, needs_sharing, share_memory
 from lycheetide.placement._types import (
     Arrivals,
     Candidate,
@@ -39,6 +39,7 @@
     "caller_patience_s",
     "choose_plain",
     "choose_prompt",
+    "count_room",
     "count_unknown",
     "first_event_s",
     "may_send",
--- a/lycheetide/placement/_tickets.py
+++ b/lycheetide/placement/_tickets.py
@@ -15,6 +15,14 @@
     return tokens > LARGEST_SHARE * engine.kv_tokens
 
 
+def count_room(engine, candidates: Sequence[Candidate]):
+    """Return how many tokens of prompts replicas together may set aside."""
+    return sum(
+        max(0, int(LARGEST_SHARE * (engine.kv_tokens - one.kv_tokens)))
+        for one in candidates
+    )
+
+
 def share_memory(engine, tokens, candidates: Sequence[Candidate]):
     """Return which replicas set how much memory aside.
 
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -13,6 +13,8 @@
     Hello,
     Started,
     Suspected,
+    Waiting,
+    Wants,
     decode_message,
     encode_message,
     make_job,
@@ -62,6 +64,7 @@
     b"s": "work",
     b"e": "work",
     b"b": "work",
+    b"w": "work",
     b"x": "suspicions",
     b"c": "changes",
     b"h": "greetings",
@@ -266,6 +269,10 @@
                     delays.note(message.node, message.sent_ms, now_s=now_s)
             case Ended(node, job):
                 board.end(node, job, now_s=now_s)
+                self.relay.memory_queue.drop(node, job)
+            case Wants(node, job, number, tokens):
+                waiting = Waiting(number, node, job, tokens)
+                self.relay.memory_queue.note(waiting, now_s=now_s)
             case Suspected(_, replica):
                 self.relay.trust.suspect(replica, now_s=now_s)
             case Bundle(_, messages, spreads):
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -7,7 +7,15 @@
 
 import anyio
 
-from lycheetide.board import START_WINDOW_S, Board, Delays, Peers, Trust, order_node
+from lycheetide.board import (
+    START_WINDOW_S,
+    Board,
+    Delays,
+    MemoryQueue,
+    Peers,
+    Trust,
+    order_node,
+)
 from lycheetide.httpclient import ChannelPool
 from lycheetide.metrics import Counters, get_log, make_statsd
 from lycheetide.metrics._exposition import Exposition
@@ -91,6 +99,7 @@
         self.board = Board()
         self.trust = Trust()
         self.delays = Delays()
+        self.memory_queue = MemoryQueue()
         self.peers = Peers(settings.peer_address, fleet=settings.store_address)
         self.pool = ChannelPool()
         self.used = Used(now_s=read_clock())
--- a/lycheetide/relay/_tickets.py
+++ b/lycheetide/relay/_tickets.py
@@ -1,7 +1,8 @@
 """Set memory aside at several replicas for a prompt that is too large for one.
 
 All or nothing: what was got is given back at once where a part is missing, and no
-reservation waits, so two prompts can't hold half each for ever. A reservation holds
+reservation waits, so two prompts can't hold half each for ever. Those that wait for
+memory try one after the other, in an order that all nodes agree on. A reservation holds
 for a few seconds and is renewed; if this node dies, the memory is free soon after.
 """
 
@@ -10,11 +11,11 @@
 
 import anyio
 
+from lycheetide.board import Ended, Waiting, Wants
 from lycheetide.httpclient import ChannelBroken, ConnectFailed
-from lycheetide.placement import Placement, needs_sharing
+from lycheetide.placement import Placement, count_room, needs_sharing
 from lycheetide.relay._evidence import suspect
 from lycheetide.relay._place import (
-    WAIT_S,
     find_place,
     is_worthwhile,
     list_candidates,
@@ -29,6 +30,8 @@
 ORDER_S = 0.6
 """How long an order may take."""
 BETWEEN_TRIES_S = 0.15
+TELL_S = 0.3
+"""How often a call that waits for memory tells all nodes so."""
 UNREACHABLE = 0
 """In place of the status of an order that got no answer."""
 
@@ -94,48 +97,121 @@
     """Reserve all shares, or none and raise ``NoMemory``.
 
     Memory that others hold becomes free within seconds, so a few more tries are worth
-    it while the first event may still come in time.
+    it while the first event may still come in time. Those that wait come one after the
+    other: did all try at once, each would deny the others a share, and none got all.
     """
-    without: set[str] = set()
     begun_s = read_clock()
-    is_first = True
-    while is_first or read_clock() - begun_s <= wait_s:
-        is_first = False
-        open_now, _ = list_candidates(relay, call)
-        candidates = [one for one in open_now if one.id not in without]
-        placement = find_place(relay, call, candidates, now_s=read_clock())
-        if not is_worthwhile(call, placement):
-            without.clear()
-            await anyio.sleep(WAIT_S)
-            continue
-        job = relay.next_job()
-        wanted = [
-            (share.replica, f"{relay.node}/{job}/{place}", share.tokens)
-            for place, share in enumerate(placement.holders)
-        ]
-        results: dict[str, bool] = {}
-        async with anyio.create_task_group() as group:
-            for replica, ticket, tokens in wanted:
-                group.start_soon(_reserve, relay, replica, ticket, tokens, results)
-        held = [(one.address, ticket, tokens) for one, ticket, tokens in wanted]
-        if all(results.values()):
-            tickets = tuple((address, ticket) for address, ticket, _ in held)
-            return Memory(tickets, placement), held
-        for replica, ticket, _ in wanted:
-            if not results[ticket]:
-                without.add(replica.id)
-            relay.tasks.start_soon(_release, relay, replica.address, ticket)
-        relay.counters.add("tickets.refused")
-        relay.log.info(
-            "Memory was refused.",
-            extra={"request": call.request.attempt_id, "tokens": call.size.tokens,
-                   "replicas": [one.id for one, ticket, _ in wanted
-                                if not results[ticket]]},
-        )  # fmt: skip
-        await anyio.sleep(BETWEEN_TRIES_S * (1 + relay.random.random()))
+    queue = _Queue(relay, call)
+    without: set[str] = set()
+    try:
+        while True:
+            open_now, _ = list_candidates(relay, call)
+            if queue.is_turn(open_now, now_s=read_clock()):
+                found = await _try_once(relay, call, open_now, without)
+                if found is not None:
+                    return found
+            if read_clock() - begun_s > wait_s:
+                break
+            queue.wait_in(now_s=read_clock())
+            await anyio.sleep(BETWEEN_TRIES_S * (0.5 + relay.random.random() / 2))
+    finally:
+        queue.leave()
     raise NoMemory(f"{call.size.tokens} tokens were not to be had")
 
 
+class _Queue:
+    """One call's place among those that wait for memory.
+
+    Parameters
+    ----------
+    relay : RelayState
+        This node.
+    call : Call
+        The call.
+    """
+
+    def __init__(self, relay, call):
+        self.relay = relay
+        self.call = call
+        self.waiting = None
+        self.told_s = float("-inf")
+
+    def is_turn(self, candidates, *, now_s):
+        """Tell whether there is memory for all that come first, and for this call."""
+        ahead = self.relay.memory_queue.list_ahead(self.waiting, now_s=now_s)
+        if not ahead:
+            return True
+        engine = self.call.service.engine or ANY_ENGINE
+        wanted = self.call.size.tokens + sum(one.tokens for one in ahead)
+        return wanted <= count_room(engine, candidates)
+
+    def wait_in(self, *, now_s):
+        """Take a place, or tell all nodes again that this call keeps it."""
+        if self.waiting is None:
+            number = self.relay.memory_queue.take_number()
+            self.waiting = Waiting(
+                number, self.relay.node, self.relay.next_job(), self.call.size.tokens
+            )
+        if now_s - self.told_s < TELL_S:
+            return
+        self.told_s = now_s
+        one = self.waiting
+        self.relay.memory_queue.note(one, now_s=now_s)
+        self.relay.tell_work(Wants(one.node, one.job, one.number, one.tokens))
+
+    def leave(self):
+        """Give the place up."""
+        if self.waiting is not None:
+            self.relay.memory_queue.drop(self.waiting.node, self.waiting.job)
+            self.relay.tell_work(Ended(self.waiting.node, self.waiting.job))
+
+
+async def _try_once(relay, call, open_now, without):
+    """Return memory and what is held for it, or None where a share was refused.
+
+    Parameters
+    ----------
+    relay : RelayState
+        This node.
+    call : Call
+        The call.
+    open_now : list of Candidate
+        Replicas that may take part.
+    without : set of str
+        Those that refused a share in the last try; changed by this one.
+    """
+    candidates = [one for one in open_now if one.id not in without]
+    placement = find_place(relay, call, candidates, now_s=read_clock())
+    without.clear()
+    if not is_worthwhile(call, placement):
+        return None
+    job = relay.next_job()
+    wanted = [
+        (share.replica, f"{relay.node}/{job}/{place}", share.tokens)
+        for place, share in enumerate(placement.holders)
+    ]
+    results: dict[str, bool] = {}
+    async with anyio.create_task_group() as group:
+        for replica, ticket, tokens in wanted:
+            group.start_soon(_reserve, relay, replica, ticket, tokens, results)
+    held = [(one.address, ticket, tokens) for one, ticket, tokens in wanted]
+    if all(results.values()):
+        tickets = tuple((address, ticket) for address, ticket, _ in held)
+        return Memory(tickets, placement), held
+    for replica, ticket, _ in wanted:
+        if not results[ticket]:
+            without.add(replica.id)
+        relay.tasks.start_soon(_release, relay, replica.address, ticket)
+    relay.counters.add("tickets.refused")
+    relay.log.info(
+        "Memory was refused.",
+        extra={"request": call.request.attempt_id, "tokens": call.size.tokens,
+               "replicas": [one.id for one, ticket, _ in wanted
+                            if not results[ticket]]},
+    )  # fmt: skip
+    return None
+
+
 async def _order(relay, outgoing, address):
     """Send an order; return its status, or ``UNREACHABLE``."""
     try:
