Wait at the store only once it answers, and judge the reader by its own topic

Cause, found by reading: since the nodes that read were made few, a node whose read for operators' records failed didn't count as one that reads the registry, so it didn't ask for that for a second; then no failure of that topic showed that the store had been out, and a wait that had gone out in silence was kept for 20 s. Change: a node reads the registry as long as reads of that work; after a failed read for operators' records the next one waits for nothing, so it fails within 1 s. Before: the new test, which lets no read of the registry come to help, fails each time.

--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -65,10 +65,12 @@
     while True:
         offset = relay.operator.offset
         if offset < 0 or waits_for_operators(relay, now_s=read_clock()):
+            # A wait that the store has forgotten can't be told from one in vain, so it
+            # is asked to wait only once it answers.
+            has_failed = relay.operator.failures > 0
+            wait_s = 0.0 if has_failed else relay.settings.operator_wait_s
             with anyio.CancelScope() as relay.operator_read:
-                await read_once(
-                    relay, store, "operator", wait_s=relay.settings.operator_wait_s
-                )
+                await read_once(relay, store, "operator", wait_s=wait_s)
             was_cancelled = relay.operator_read.cancelled_caught
             relay.operator_read = None
             if was_cancelled:
--- a/lycheetide/relay/_sharing.py
+++ b/lycheetide/relay/_sharing.py
@@ -76,7 +76,7 @@
     hubs = find_hubs(relay, now_s=now_s)
     if hubs.get(relay.settings.failure_domain) is not None or relay.is_leaving:
         return False
-    return relay.reads_store and all(
+    return not relay.registry.failures and all(
         own_order < (-hub.link_mbps, hub.order)
         for hub in hubs.values()
         if hub is not None and hub.reads_store
--- a/lycheetide/relay/tests/test_knowledge.py
+++ b/lycheetide/relay/tests/test_knowledge.py
@@ -118,6 +118,30 @@
         await fleet.wait_for(lambda: knows(relay, 9), timeout_s=NOTICE_S + 1.0)
 
 
+async def test_a_read_after_a_failure_waits_for_nothing():
+    """The store fails one read for operators' records and says nothing to the next.
+
+    No read of the registry showed that it was back, and a key that was taken away
+    stayed valid for 20 s.
+    """
+    async with Relayed() as fleet:
+        (relay,) = fleet.relays
+        store = fleet.store
+        relay.settings = replace(relay.settings, registry_interval_s=60.0)
+        await anyio.sleep(0.2)
+        store.down = "busy"
+        store.wake()
+        await fleet.wait_for(lambda: relay.operator.failures)
+        store.down = "silent"
+        asked = len(store.calls)
+        await fleet.wait_for(
+            lambda: any("keyed.op" in target for target in store.calls[asked:])
+        )
+        store.down = ""
+        store.put("keyed.op", "config", make_config(version=9))
+        await fleet.wait_for(lambda: knows(relay, 9), timeout_s=NOTICE_S + 1.0)
+
+
 async def test_a_draining_replica_gets_no_new_work():
     async with Relayed() as fleet:
         leaving = fleet.replicas[0]
--- a/lycheetide/relay/tests/test_readers.py
+++ b/lycheetide/relay/tests/test_readers.py
@@ -70,7 +70,7 @@
     nodes = list(make_fleet(22).values())
     now_s = time.monotonic()
     (reader,) = find_readers(nodes, now_s=now_s)
-    reader.reads_store = False
+    reader.reads_store, reader.registry.failures = False, 1
     let_hear(nodes, [reader], now_s=now_s)
     (following,) = find_readers(nodes, now_s=now_s)
     assert following is not reader
--- a/lycheetide/relay/tests/test_spreading.py
+++ b/lycheetide/relay/tests/test_spreading.py
@@ -49,7 +49,7 @@
             failure_domain=domains[index % len(domains)], link_mbps=link_mbps
         ),
         peers=Peers(f"10.0.0.{index}:7"),
-        registry=SimpleNamespace(offset=1, read_s=0.0),
+        registry=SimpleNamespace(offset=1, read_s=0.0, failures=0),
         reads_store=True,
         sent=[],
     )
