Tell all nodes of a replica that broke an answer off

What callers saw: nine replicas died at one moment; each stream moved to another dead one, up to three times, 20 ms each, and paused for 0.37 to 0.48 s (250 ms are borne). Cause: each node knew only of those whose streams it had lost itself, and a broken answer counted for nothing but a whole domain's failure. Change: such a replica is the second choice for 0.5 s, or until it answers this node; all nodes are told. A short request goes to it only where all others are full. Ruled out: a suspicion of 3 s (a replica that loses 6 in 100 connections would be left alone all the time). Before: no node told.

--- a/lycheetide/board/__init__.py
+++ b/lycheetide/board/__init__.py
@@ -10,6 +10,7 @@
 from lycheetide.board._messages import (
     Bundle,
     Changed,
+    Doubted,
     Ended,
     Hello,
     Message,
@@ -30,6 +31,7 @@
     "Bundle",
     "Changed",
     "Delays",
+    "Doubted",
     "Ended",
     "Hello",
     "Job",
--- a/lycheetide/board/_messages.py
+++ b/lycheetide/board/_messages.py
@@ -77,6 +77,13 @@
     replica: str
 
 
+class Doubted(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+    """A replica has broken an answer off."""
+
+    node: str
+    replica: str
+
+
 class Wants(msgspec.Struct, frozen=True, array_like=True, tag="w"):
     """A request waits for memory of several replicas; told again while it does.
 
@@ -186,18 +193,18 @@
     ----------
     node : str
         Who sends it, which need not be who says it.
-    messages : tuple of Started, Ended, Suspected or Wants
+    messages : tuple of Started, Ended, Suspected, Doubted or Wants
         What is told.
     spreads : bool
         Whether the receiver is to pass it on within its failure domain.
     """
 
     node: str
-    messages: tuple[Started | Ended | Suspected | Wants, ...]
+    messages: tuple[Started | Ended | Suspected | Doubted | Wants, ...]
     spreads: bool = False
 
 
-Message = Started | Ended | Suspected | Wants | Hello | Changed | Bundle
+Message = Started | Ended | Suspected | Doubted | Wants | Hello | Changed | Bundle
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- a/lycheetide/board/_trust.py
+++ b/lycheetide/board/_trust.py
@@ -19,6 +19,10 @@
 """How old a peer's word may be that a replica answered: peers name those that they
 heard within a second, and greet each 0.3 s."""
 MOST_DOUBLINGS = 4
+DOUBT_S = 0.5
+"""How long a replica that broke an answer off is the second choice, unless it answers.
+Replicas that die together are found one by one; those that only lost one connection
+are heard again within this time."""
 
 
 @dataclass(frozen=True)
@@ -73,8 +77,16 @@
             del self._suspects[replica]
 
     def doubt(self, replica, *, now_s):
-        """Note that a replica broke an answer off, which alone proves little."""
+        """Note that a replica broke an answer off, which alone proves little.
+
+        Returns
+        -------
+        bool
+            Whether it wasn't in doubt already.
+        """
+        is_new = not self.is_doubted(replica, now_s=now_s)
         self._troubled_s[replica] = now_s
+        return is_new
 
     def suspect(self, replica, *, now_s):
         """Note that a replica was waited for in vain, or refused a connection.
@@ -125,8 +137,15 @@
         found = self._suspects.get(replica)
         return found is not None and now_s < found.ends_s
 
+    def is_doubted(self, replica, *, now_s):
+        """Tell whether a replica failed a moment ago and hasn't answered since."""
+        troubled_s = self.troubled_s(replica)
+        return now_s - troubled_s < DOUBT_S and self.answered_s(replica) < troubled_s
+
     def is_recovering(self, replica, *, now_s):
-        """Tell whether a replica was silent lately and hasn't answered since."""
+        """Tell whether a replica is the second choice, for what it did lately."""
+        if self.is_doubted(replica, now_s=now_s):
+            return True
         found = self._suspects.get(replica)
         return found is not None and now_s - found.last_s < RECOVERING_S
 
--- a/lycheetide/board/tests/test_board.py
+++ b/lycheetide/board/tests/test_board.py
@@ -163,6 +163,25 @@
     assert trust.is_suspect("r", now_s=2.95)
 
 
+def test_a_replica_that_broke_off_is_the_second_choice_until_it_answers():
+    """Nine replicas die together, and streams move from one of them to the next.
+
+    One that only lost a connection answers another request and is as good as before.
+    """
+    trust = Trust()
+    trust.hear("r", now_s=0.9)
+    assert trust.doubt("r", now_s=1.0)
+    assert not trust.doubt("r", now_s=1.1)
+    assert trust.is_recovering("r", now_s=1.2)
+    assert not trust.is_suspect("r", now_s=1.2)
+    assert not trust.is_recovering("r", now_s=1.7)
+    trust.doubt("r", now_s=2.0)
+    trust.hear_of("r", now_s=2.05)
+    assert trust.is_recovering("r", now_s=2.1)
+    trust.hear("r", now_s=2.2)
+    assert not trust.is_recovering("r", now_s=2.21)
+
+
 def test_a_peers_older_word_does_not_end_a_suspicion():
     """A replica refuses connections, and a peer heard it within the last second.
 
--- a/lycheetide/placement/_choose.py
+++ b/lycheetide/placement/_choose.py
@@ -34,14 +34,16 @@
 def choose_plain(candidates: Sequence[Candidate]):
     """Return the replica for a request without a prompt, or None.
 
-    The one with the most free slots; a near one where that is equal.
+    The one with the most free slots, a near one where that is equal; one that failed
+    lately only where the others are full.
     """
     if not candidates:
         return None
 
     def load(candidate):
         share = candidate.writers / max(1, candidate.slots)
-        return (candidate.is_recovering, round(share, 2), candidate.extra_s)
+        is_full = candidate.writers >= candidate.slots
+        return (is_full, candidate.is_recovering, round(share, 2), candidate.extra_s)
 
     first = min(candidates, key=load)
     return Placement(first, (), 0.0, 0.0)
--- a/lycheetide/placement/tests/test_choose.py
+++ b/lycheetide/placement/tests/test_choose.py
@@ -309,3 +309,16 @@
     replicas = make_replicas(3, w0={"writers": 2}, w1={"is_near": False})
     assert choose_plain(replicas).first.rank == 2
     assert choose_plain([]) is None
+
+
+def test_a_short_request_goes_to_one_that_failed_lately_only_if_others_are_full():
+    """Three of five replicas reset connections, and bookings can't be tried again.
+
+    The other two must not be filled beyond their slots by that.
+    """
+    failing = {"is_recovering": True}
+    replicas = make_replicas(5, w0=failing, w1=failing, w2=failing, w3={"writers": 4})
+    assert choose_plain(replicas).first.rank == 4
+    replicas = make_replicas(5, w0=failing, w1={"writers": 8}, w2={"writers": 9},
+                             w3={"writers": 8}, w4={"writers": 8})  # fmt: skip
+    assert choose_plain(replicas).first.rank == 0
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -2,7 +2,7 @@
 
 import math
 
-from lycheetide.board import Suspected
+from lycheetide.board import Doubted, Suspected
 from lycheetide.relay._outcomes import Cause
 from lycheetide.relay._state import read_clock
 
@@ -19,6 +19,17 @@
     relay.log.info("A replica is suspected.", extra={"replica": replica, "why": why})
 
 
+def doubt(relay, replica):
+    """Take a replica that broke an answer off for the second choice, at all nodes.
+
+    Replicas that die at one moment break their streams off at many nodes. Did each node
+    keep to itself what it saw, streams would move from one dead replica to the next.
+    """
+    if relay.trust.doubt(replica, now_s=read_clock()):
+        relay.tell_work(Doubted(relay.node, replica))
+        relay.counters.add("replicas.doubted")
+
+
 def note_answer(relay, replica, answer):
     """Take in what an answer's head tells of its replica and of others."""
     now_s = read_clock()
@@ -37,7 +48,7 @@
     if failure.cause is Cause.REFUSED and not failure.may_have_run:
         call.note_refused(placement.first.id, now_s=read_clock())
     if failure.cause is Cause.BROKEN:
-        relay.trust.doubt(placement.first.id, now_s=read_clock())
+        doubt(relay, placement.first.id)
     if failure.cause is Cause.SILENT:
         suspect(relay, placement.first.id, "silent")
     if failure.cause is Cause.OTHER_REPLICA:
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -9,6 +9,7 @@
 from lycheetide.board import (
     Bundle,
     Changed,
+    Doubted,
     Ended,
     Hello,
     Started,
@@ -76,6 +77,7 @@
     b"b": "work",
     b"w": "work",
     b"x": "suspicions",
+    b"d": "suspicions",
     b"c": "changes",
     b"h": "greetings",
 }
@@ -285,6 +287,8 @@
                 self.relay.memory_queue.note(waiting, now_s=now_s)
             case Suspected(_, replica):
                 self.relay.trust.suspect(replica, now_s=now_s)
+            case Doubted(_, replica):
+                self.relay.trust.doubt(replica, now_s=now_s)
             case Bundle(_, messages, spreads):
                 for one in messages:
                     self.take(one, now_s=now_s)
--- a/lycheetide/relay/tests/test_successors.py
+++ b/lycheetide/relay/tests/test_successors.py
@@ -1,5 +1,6 @@
 """An answer that still comes isn't ended before another one is there."""
 
+import math
 import time
 
 import anyio
@@ -315,3 +316,30 @@
             data, _ = await read_stream(fleet)
         assert relay.table.routing.version == 2
     assert data == WHOLE
+
+
+async def test_all_nodes_hear_of_a_replica_that_broke_off():
+    """Nine replicas die at one moment, and each node finds every one for itself.
+
+    A stream tried three dead replicas, one after the other, for 0.4 s.
+    """
+    async with Relayed(relays=2, config=make_patient_config()) as fleet:
+        await fleet.wait_for(
+            lambda: all(
+                len(relay.peers.alive(now_s=time.monotonic())) == 1
+                for relay in fleet.relays
+            )
+        )
+        steps = ["break"]
+        for replica in fleet.replicas:
+            replica.events, replica.script = EVENTS, steps
+        data, _ = await read_stream(fleet)
+        (broken,) = [
+            name
+            for name in ("r-0", "r-1")
+            if math.isfinite(fleet.relays[0].trust.troubled_s(name))
+        ]
+        other = fleet.relays[1]
+        await fleet.wait_for(lambda: math.isfinite(other.trust.troubled_s(broken)))
+        assert not other.trust.is_suspect(broken, now_s=time.monotonic())
+    assert data == WHOLE
