--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -232,7 +232,12 @@
     """
     if answer.is_unstarted:
         cause = Cause.OTHER_REPLICA if answer.is_other_replica else Cause.REFUSED
-        raise AttemptFailed(cause, f"status {answer.status}", may_have_run=False)
+        raise AttemptFailed(
+            cause,
+            f"status {answer.status}",
+            may_have_run=False,
+            names_helper=bool(answer.at_fault),
+        )
     if answer.attempt_id != call.request.attempt_id:
         raise AttemptFailed(
             Cause.WRONG_ANSWER,
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -43,7 +43,9 @@
 def note_failure(relay, call, placement, failure):
     """Note how an attempt failed."""
     call.may_have_run = call.may_have_run or failure.may_have_run
-    if failure.cause is Cause.REFUSED and (placement.helpers or placement.holders):
+    is_helped = bool(placement.helpers or placement.holders)
+    if failure.cause is Cause.REFUSED and is_helped and not failure.names_helper:
+        # Which of them was at fault isn't known, so all of them are left out.
         call.helpers_refused = True
     if failure.cause is Cause.REFUSED and not failure.may_have_run:
         call.note_refused(placement.first.id, now_s=read_clock())
--- a/lycheetide/relay/_outcomes.py
+++ b/lycheetide/relay/_outcomes.py
@@ -36,12 +36,15 @@
         For the log.
     may_have_run : bool
         Whether the replica may have begun.
+    names_helper : bool
+        Whether the replica refused it for a helper that it named.
     """
 
-    def __init__(self, cause, message, *, may_have_run):
+    def __init__(self, cause, message, *, may_have_run, names_helper=False):
         super().__init__(message)
         self.cause = cause
         self.may_have_run = may_have_run
+        self.names_helper = names_helper
 
 
 class Refusal(Exception):
--- a/lycheetide/relay/tests/test_answers.py
+++ b/lycheetide/relay/tests/test_answers.py
@@ -344,6 +344,29 @@
     assert sorted(helped) == [False, True]
 
 
+async def test_a_prompt_refused_for_a_named_helper_is_read_with_the_others():
+    """One replica is leaving, and a prompt that counted on it is refused.
+
+    Read by one replica alone then, an archive search of 425,000 tokens took 3.6 s
+    longer; the refusal names the one that left.
+    """
+    async with Relayed(replicas=6) as fleet:
+        leaving = fleet.replicas[-1]
+        for replica in fleet.replicas[:-1]:
+            replica.leaving_helper = leaving.address
+        answers = [await fleet.stream(tokens="50000,300") for _ in range(4)]
+        refused = [one for one in fleet.seen() if names(one, leaving)]
+        helped = ["lycheetide-helpers" in one.headers for one in fleet.seen()]
+    assert [answer.content for answer in answers] == [WHOLE] * 4
+    assert len(refused) == 1
+    assert all(helped)
+
+
+def names(request, replica):
+    """Tell whether a request names a replica as a helper."""
+    return replica.address in request.headers.get("lycheetide-helpers", "")
+
+
 async def test_an_answer_without_a_length_is_whole_at_its_end():
     async with Relayed(replicas=1) as fleet:
         fleet.replicas[0].always = "unframed"
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -55,6 +55,8 @@
         two events, and goes on).
     long_pause_s : float
         How long.
+    leaving_helper : str
+        The address of a replica with whose help it refuses to work, and which it names.
     """
 
     def __init__(self, name, *, events=4, pause_s=0.01):
@@ -70,6 +72,7 @@
         self.cancelled_s = []
         self.script = []
         self.always = ""
+        self.leaving_helper = ""
         self.long_pause_s = 0.0
         self.signs = False
         self.drops_kept = False
@@ -102,7 +105,11 @@
         expected = request.headers["lycheetide-expect-instance"]
         if step == "other" or expected != self.name:
             return Answer(421, b"", {"Lycheetide-Instance-Id": "another"})
-        helped = "lycheetide-helpers" in request.headers
+        helpers = request.headers.get("lycheetide-helpers", "")
+        helped = bool(helpers)
+        if self.leaving_helper and self.leaving_helper in helpers:
+            head = {"Lycheetide-Not-Executed": "1", "At-Server": self.leaving_helper}
+            return Answer(503, b"", head)
         if step == "refuse" or (step == "refuse-helped" and helped):
             return Answer(503, b"", {"Lycheetide-Not-Executed": "1"})
         attempt = request.headers.get("lycheetide-attempt-id", "")
