Forget old news of operators before waiting for the next

Cause, found by reading: a peer's news set an event; where the node had read the same from the store meanwhile, the event stayed set, and each wait for the next one ended at once, so the node looked 12,000 times a second. Change: the event is made anew before each wait. Beside it, in a large fleet only hubs tell a new node of others, since 194 full answers fill its link for 0.2 s.

--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -78,6 +78,8 @@
         elif relay.lags_behind(now_s=read_clock()):
             await catch_up(relay, store)
         else:
+            # News that came while this node read for itself would end each wait.
+            relay.operator_news = anyio.Event()
             with anyio.move_on_after(LOOK_S):
                 await relay.operator_news.wait()
         if 0 <= offset < relay.operator.offset:
@@ -86,7 +88,6 @@
 
 async def catch_up(relay, store):
     """Take over what operators wrote: from a peer, or else from the store."""
-    relay.operator_news = anyio.Event()
     offset = relay.operator.offset
     await read_from_peer(relay, "operator", insists=False)
     if relay.operator.offset == offset:
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -338,8 +338,15 @@
             self.send(encode_message(reply), hello.address)
 
     def _list_known(self, *, now_s):
-        """Return the addresses that a new node is told: the hubs, and some others."""
+        """Return the addresses that a new node is told: the hubs, and some others.
+
+        In a large fleet only hubs tell of others. Did all do so, their answers to one
+        new node would fill its link for a fifth of a second.
+        """
         hubs = set(self._list_hubs(now_s=now_s))
+        is_close = is_hub(self.relay, now_s=now_s)
+        if is_large(self.relay, now_s=now_s) and not is_close:
+            return tuple(sorted(hubs))
         others = [
             peer.address
             for peer in self.relay.peers.alive(now_s=now_s)
--- a/lycheetide/relay/tests/test_sharing.py
+++ b/lycheetide/relay/tests/test_sharing.py
@@ -252,3 +252,25 @@
         fleet.store.put("keyed.op", "config", make_config(version=2))
         took_s = await wait_for_version(fleet, others, 2)
     assert took_s < 1.9
+
+
+async def test_old_news_of_operators_does_not_keep_a_node_busy():
+    """A peer's news came while the node itself read the same from the store.
+
+    Taken for new again and again, it kept the whole loop busy.
+    """
+    async with Relayed(relays=5) as fleet:
+        await start_fleet(fleet)
+        await end_first_waits(fleet)
+        now_s = time.monotonic()
+        relay = next(
+            one for one in fleet.relays if not waits_for_operators(one, now_s=now_s)
+        )
+        looks = []
+        lags_behind = relay.lags_behind
+        relay.lags_behind = lambda *, now_s: (
+            looks.append(now_s) or lags_behind(now_s=now_s)
+        )
+        relay.operator_news.set()
+        await anyio.sleep(1.0)
+    assert len(looks) < 15
