Say of a key that ran elsewhere only that this is unknown

What was seen, once, at a load of 50: a deposit whose node was killed while it ran was answered not_run by the next node, where unknown is due. Cause, by reading, not shown to be that run's: a request with a key that is refused at the door (late, not ready, no class) or by the key's home, before the key was looked up, got not_run. That is true of the request; its caller reads it as said of the booking. Change: such a refusal of a request with a key says unknown, with the same reason and time to come back, and to ask again with the same key. Before: the new test got not_run for a deposit that had run.

--- a/lycheetide/node/_booking_errors.py
+++ b/lycheetide/node/_booking_errors.py
@@ -28,3 +28,18 @@
         "the node that ran this key is gone; whether it ran is not known",
         status=504,
     )
+
+
+def refused_with_key(refusal):
+    """Return the error for a request with a key that is refused before that is read.
+
+    Its caller may be asking again, after another node ran the key. "Not run" would be
+    true of this request, and read as said of the booking.
+    """
+    return OutcomeUnknown(
+        refusal.reason,
+        f"{refusal.message}; this node has sent nothing and hasn't looked whether "
+        "another one ran the key; ask again with the same key",
+        retry_after_s=refusal.retry_after_s,
+        status=refusal.status,
+    )
--- a/lycheetide/node/_booking_peers.py
+++ b/lycheetide/node/_booking_peers.py
@@ -1,7 +1,7 @@
 """Answer other nodes that ask about bookings, or pass one on."""
 
 from lycheetide.bookings import parse_key
-from lycheetide.node._booking_errors import holder_gone
+from lycheetide.node._booking_errors import holder_gone, refused_with_key
 from lycheetide.node._bookings import serve_booking
 from lycheetide.node._state import read_clock
 from lycheetide.outcomes import NotRun, Reason, RequestError
@@ -54,7 +54,7 @@
         error = NotRun(
             Reason.NOT_READY, "the configuration is not known here", retry_after_s=1.0
         )
-        return make_error_reply(error)
+        return make_error_reply(refused_with_key(error))
     now_s = read_clock()
     admitted = Admitted(
         request.request_id, customer, request_class, now_s,
--- a/lycheetide/node/_door.py
+++ b/lycheetide/node/_door.py
@@ -9,6 +9,7 @@
 from starlette.routing import Route
 
 from lycheetide.metrics import get_log
+from lycheetide.node._booking_errors import refused_with_key
 from lycheetide.node._booking_keys import issue_key, read_key
 from lycheetide.node._bookings import serve_booking
 from lycheetide.node._prompts import Prompt, Token, serve_prompt, to_request_error
@@ -228,7 +229,12 @@
 
     async def _call(self, request, request_id):
         node = self.node
-        admitted = admit(node, request, request_id)
+        try:
+            admitted = admit(node, request, request_id)
+        except NotRun as refusal:
+            if not request.headers.get("idempotency-key"):
+                raise
+            raise refused_with_key(refusal) from None
         params = request.path_params
         name = f"{params['service']}/{params['operation']}"
         operation = node.fleet.operations.get(name)
--- a/lycheetide/node/tests/test_bookings.py
+++ b/lycheetide/node/tests/test_bookings.py
@@ -248,3 +248,17 @@
     assert answer.request_id not in list_started(fleet)
     again = book(node, key)
     assert check(fleet, key, [answer, again]) == 1
+
+
+def test_a_refusal_does_not_say_of_a_key_that_ran_that_it_has_not(fleet):
+    """A deposit ran, its answer was lost, and the caller asks again through another node.
+
+    That one refuses the request as it comes, late or not ready, and said "not run".
+    """
+    first, second, _ = fleet.nodes.values()
+    key = get_key(first)
+    assert book(first, key).outcome == "answered"
+    refused = book(second, key, deadline_s=0.0)
+    assert refused.outcome == "unknown"
+    assert book(second, key).outcome == "answered"
+    assert count_runs(fleet, key) == 1
