--- a/lycheetide/node/tests/test_bookings.py
+++ b/lycheetide/node/tests/test_bookings.py
@@ -251,7 +251,7 @@
 
 
 def test_a_refusal_does_not_say_of_a_key_that_ran_that_it_has_not(fleet):
-    """A deposit ran, its answer was lost, and the caller asks again through another node.
+    """A deposit ran, its answer was lost, and its caller asks again at another node.
 
     That one refuses the request as it comes, late or not ready, and said "not run".
     """
