--- a/lycheetide/board/_peers.py
+++ b/lycheetide/board/_peers.py
@@ -58,6 +58,11 @@
     link_mbps: int = 0
     reads_store: bool = True
 
+    @property
+    def place(self):
+        """Orders nodes by who works for others first: the widest link, then by hash."""
+        return -self.link_mbps, self.order
+
 
 class Peers:
     """The peers by address.
--- a/lycheetide/cli/_main.py
+++ b/lycheetide/cli/_main.py
@@ -218,17 +218,11 @@
 
     def __call__(self):
         """Read the logs and print the account."""
-        import msgspec
-
         from lycheetide.losses import print_summary, read_events, summarize
 
         with open_logs(self.logs) as files:
             summary = summarize(read_events(files), probes=frozenset(self.probes))
-        if self.as_json:
-            print(msgspec.json.format(msgspec.json.encode(summary)).decode())
-        else:
-            for line in print_summary(summary):
-                print(line)
+        print_account(summary, print_summary, as_json=self.as_json)
         if self.plot_path:
             draw_losses(self.logs, self.plot_path)
 
@@ -258,8 +252,6 @@
 
     def __call__(self):
         """Read the logs and print the account."""
-        import msgspec
-
         from lycheetide.losses import (
             print_prices,
             read_events,
@@ -269,15 +261,22 @@
 
         with open_logs(self.logs) as files:
             prices = sum_prices(read_events(files))
-        if self.as_json:
-            print(msgspec.json.format(msgspec.json.encode(prices)).decode())
-        else:
-            for line in print_prices(prices):
-                print(line)
+        print_account(prices, print_prices, as_json=self.as_json)
         if self.plot_path:
             save_price_plot(prices, self.plot_path)
 
 
+def print_account(account, describe, *, as_json):
+    """Print an account as JSON, or the lines that describe it."""
+    import msgspec
+
+    if as_json:
+        print(msgspec.json.format(msgspec.json.encode(account)).decode())
+        return
+    for line in describe(account):
+        print(line)
+
+
 @contextmanager
 def open_logs(paths):
     """Open logs, or exit; they are closed behind the block."""
--- a/lycheetide/relay/_sharing.py
+++ b/lycheetide/relay/_sharing.py
@@ -29,8 +29,8 @@
 def find_hubs(relay, *, now_s):
     """Return the node of each failure domain that works for the others there.
 
-    It reads the registry for all, and in a large fleet it gathers what nodes tell. What
-    it passes on would fill a small link, so a node with the widest one is taken.
+    It waits for operators' records, and in a large fleet it gathers what nodes tell.
+    What it passes on would fill a small link, so a node with the widest one is taken.
     Nodes may disagree for a moment; then one message more is sent, or a read.
 
     Parameters
@@ -46,17 +46,15 @@
         By failure domain; None for this node itself.
     """
     hubs: dict[str, Peer | None] = {}
-    orders: dict[str, tuple[int, int]] = {}
+    places: dict[str, tuple[int, int]] = {}
     if not relay.is_leaving:
         domain = relay.settings.failure_domain
-        hubs[domain] = None
-        orders[domain] = (-round(relay.settings.link_mbps), relay.order)
+        hubs[domain], places[domain] = None, relay.place
     for peer in relay.peers.alive(now_s=now_s, within_s=HUB_SILENT_S):
         domain = peer.failure_domain
-        order = (-peer.link_mbps, peer.order)
-        if peer.is_leaving or (domain in orders and order >= orders[domain]):
+        if peer.is_leaving or (domain in places and peer.place >= places[domain]):
             continue
-        hubs[domain], orders[domain] = peer, order
+        hubs[domain], places[domain] = peer, peer.place
     return hubs
 
 
@@ -72,12 +70,11 @@
     disagree for a moment; then there is a read more, or knowledge grows old and is read
     by the next one.
     """
-    own_order = (-round(relay.settings.link_mbps), relay.order)
     hubs = find_hubs(relay, now_s=now_s)
     if hubs.get(relay.settings.failure_domain) is not None or relay.is_leaving:
         return False
     return not relay.registry.failures and all(
-        own_order < (-hub.link_mbps, hub.order)
+        relay.place < hub.place
         for hub in hubs.values()
         if hub is not None and hub.reads_store
     )
@@ -92,9 +89,8 @@
     """
     if is_hub(relay, now_s=now_s):
         return True
-    own_order = (-round(relay.settings.link_mbps), relay.order)
     before = sum(
-        (-peer.link_mbps, peer.order) < own_order
+        peer.place < relay.place
         for peer in relay.peers.alive(now_s=now_s, within_s=HUB_SILENT_S)
         if not peer.is_leaving and peer.reads_store
     )
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -136,6 +136,11 @@
             note_call=lambda verb: self.used.add(f"store.{purpose}.{verb}"),
         )
 
+    @property
+    def place(self):
+        """This node's place among its peers, as ``Peer.place``."""
+        return -round(self.settings.link_mbps), self.order
+
     @property
     def reads_store(self):
         """Whether the store served this node when it last asked."""
--- a/lycheetide/relay/tests/test_sharing.py
+++ b/lycheetide/relay/tests/test_sharing.py
@@ -268,9 +268,12 @@
         )
         looks = []
         lags_behind = relay.lags_behind
-        relay.lags_behind = lambda *, now_s: (
-            looks.append(now_s) or lags_behind(now_s=now_s)
-        )
+
+        def look(*, now_s):
+            looks.append(now_s)
+            return lags_behind(now_s=now_s)
+
+        relay.lags_behind = look
         relay.operator_news.set()
         await anyio.sleep(1.0)
     assert len(looks) < 15
--- a/lycheetide/relay/tests/test_spreading.py
+++ b/lycheetide/relay/tests/test_spreading.py
@@ -44,6 +44,7 @@
     return SimpleNamespace(
         node=name,
         order=order_node(name),
+        place=(-round(link_mbps), order_node(name)),
         is_leaving=False,
         settings=SimpleNamespace(
             failure_domain=domains[index % len(domains)], link_mbps=link_mbps
