Count work of nodes that aren't known yet, and start without lost greetings

Cause, by its logs: 51 to 68 of 194 peers were unknown to each node until 4.7 s of traffic, 19.5 s after the start: their first greetings were lost, as each of 195 nodes told all others of each replica that registered (73 MB of changes), and everybody is greeted again only then. A request of a node that isn't known was taken for a dead node's, and forgotten within half a second. Change: only requests of nodes that were heard once, and are silent or have started anew, end with their node; addresses where nobody was heard yet are greeted each 2 s; a node that has just started and still comes to know its peers tells of no change.

--- a/lycheetide/board/_board.py
+++ b/lycheetide/board/_board.py
@@ -112,20 +112,21 @@
         for part in job.parts if job is not None else ():
             self.columns[part.replica].stop_reading(job, part, now_s=now_s)
 
-    def expire(self, *, now_s, living=None):
+    def expire(self, *, now_s, dead=frozenset()):
         """Take away what has surely ended.
 
         Parameters
         ----------
         now_s : float
             The present time.
-        living : set of str or None
-            Nodes that are alive; requests of others ended with them.
+        dead : set of str
+            Nodes that were alive and aren't any more; their requests ended with them.
+            One that isn't known yet is told of by others before it greets.
         """
         over = [
             key
             for key, job in self.jobs.items()
-            if job.ends_by_s <= now_s or (living is not None and job.node not in living)
+            if job.ends_by_s <= now_s or job.node in dead
         ]
         for node, job_id in over:
             self.end(node, job_id, now_s=now_s)
--- a/lycheetide/board/_peers.py
+++ b/lycheetide/board/_peers.py
@@ -73,15 +73,22 @@
         This node's own, which is never a peer.
     fleet : str
         The store that this node reads; nodes that read another are no peers.
+
+    Attributes
+    ----------
+    grown_s : float
+        When a new one was last heard.
     """
 
     def __init__(self, own_address, *, fleet=""):
         self.own_address = own_address
         self.fleet = fleet
         self.peers: dict[str, Peer] = {}
+        self.grown_s = float("-inf")
         self._greeted_s: dict[str, float] = {}
         self._vouched_s: dict[int, float] = {}
         self._names: set[str] = set()
+        self._gone_s: dict[str, float] = {}
 
     def learn(self, address, *, now_s):
         """Note an address where a node may be."""
@@ -112,6 +119,9 @@
             reads_store=hello.reads_store,
         )
         if is_new:
+            self.grown_s = now_s
+            if known.node:
+                self._gone_s[known.node] = now_s
             self._names.discard(known.node)
             self._names.add(hello.node)
         return is_new
@@ -135,6 +145,21 @@
             or (peer.node and now_s - vouched_s.get(peer.order, -1e9) < within_s)
         ]
 
+    def list_dead(self, *, now_s):
+        """Return the names of the peers that were heard once, and not lately.
+
+        A node that has started anew at its address is another one; the old one is dead.
+        """
+        living = {peer.node for peer in self.alive(now_s=now_s)}
+        self._gone_s = {
+            node: at_s for node, at_s in self._gone_s.items() if now_s - at_s < FORGET_S
+        }
+        return (self._names - living).union(self._gone_s)
+
+    def list_unheard(self):
+        """Return the addresses where a node may be that was never heard."""
+        return [peer.address for peer in self.peers.values() if not peer.node]
+
     def heard_directly(self, *, now_s, within_s):
         """Return the peers that this node itself heard lately."""
         return [peer for peer in self.peers.values() if now_s - peer.heard_s < within_s]
@@ -148,4 +173,6 @@
                 self._greeted_s.pop(address, None)
                 self._vouched_s.pop(peer.order, None)
                 self._names.discard(peer.node)
+                if peer.node:
+                    self._gone_s[peer.node] = now_s
         return list(self.peers)
--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -45,6 +45,10 @@
 """Taken for the width of a link that isn't known."""
 OUTAGE_S = 1.5
 """Reads that failed for so long were an outage, in which entries may have lapsed."""
+STARTING_S = 2.0
+"""How long after its start a node may take itself for the only one."""
+SETTLED_S = 0.5
+"""Where no new peer came for so long it knows them."""
 PEER_CALL_S = 1.0
 REMOVED_KEPT = 30_000
 """Records kept of one topic before those of removed keys are dropped; more than twice
@@ -214,14 +218,24 @@
         taken = take_registry(relay, listed, batch, now_s=now_s)
         log_changes(relay, taken, is_first=is_first, is_read=read_s is None)
         forget_removed(source)
-        # Hubs know what a node lists first. Told by each node to all when a fleet
-        # starts, it would fill every link.
-        if taken and read_s is None and not is_first:
+        # Others know what a node lists first, or read it as well while it doesn't know
+        # them yet. Told by each node to all when a fleet starts, it fills every link.
+        if (
+            taken
+            and read_s is None
+            and not (is_first or is_starting(relay, now_s=now_s))
+        ):
             for message in make_changes(relay, taken, now_s=now_s):
                 relay.tell_change(message)
     source.offset = max(source.offset, batch.end)
 
 
+def is_starting(relay, *, now_s):
+    """Tell whether this node has just started and still comes to know its peers."""
+    is_new = now_s - relay.started_s < STARTING_S
+    return is_new and now_s - relay.peers.grown_s < SETTLED_S
+
+
 def forget_removed(source):
     """Drop the records of removed keys once they are many."""
     if len(source.records) > REMOVED_KEPT:
--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -191,9 +191,13 @@
         return GreetingPauses(0.0, 0.0, max(HELLO_S, per_node_s * count))
 
     def _list_hubs(self, *, now_s):
-        """Return whom to greet now and then: the hubs of all failure domains."""
+        """Return whom to greet now and then: the hubs, and those never heard.
+
+        When a large fleet starts, many first greetings are lost.
+        """
         hubs = find_hubs(self.relay, now_s=now_s).values()
         addresses = {hub.address for hub in hubs if hub is not None}
+        addresses.update(self.relay.peers.list_unheard())
         return sorted(addresses.union(self._list_close(now_s=now_s)))
 
     def _list_close(self, *, now_s):
@@ -343,7 +347,11 @@
         In a large fleet only hubs tell of others. Did all do so, their answers to one
         new node would fill its link for a fifth of a second.
         """
-        hubs = set(self._list_hubs(now_s=now_s))
+        hubs = {
+            hub.address
+            for hub in find_hubs(self.relay, now_s=now_s).values()
+            if hub is not None
+        }
         is_close = is_hub(self.relay, now_s=now_s)
         if is_large(self.relay, now_s=now_s) and not is_close:
             return tuple(sorted(hubs))
@@ -370,7 +378,8 @@
                 self.relay.operator_read.cancel()
             lagged = lags
             living = self.relay.living_nodes(now_s=now_s)
-            self.relay.board.expire(now_s=now_s, living=living)
+            dead = self.relay.peers.list_dead(now_s=now_s)
+            self.relay.board.expire(now_s=now_s, dead=dead)
             self.relay.forget_gone(now_s=now_s)
             self.relay.delays.forget(living)
             self._log_new_peers(len(living))
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -102,7 +102,8 @@
         self.memory_queue = MemoryQueue()
         self.peers = Peers(settings.peer_address, fleet=settings.store_address)
         self.pool = ChannelPool()
-        self.used = Used(now_s=read_clock())
+        self.started_s = read_clock()
+        self.used = Used(now_s=self.started_s)
         self.active = 0
         self.is_leaving = False
         self.told_to_stop = anyio.Event()
--- a/lycheetide/relay/tests/test_spreading.py
+++ b/lycheetide/relay/tests/test_spreading.py
@@ -254,6 +254,20 @@
     assert TOGETHER_MOST * 1_000 * 8 / 10e6 < APART_S
 
 
+def test_a_node_that_was_never_heard_is_greeted_soon_again():
+    """First greetings are lost when 195 nodes start, and the next ones come 19 s later.
+
+    Until then a third of the nodes were unknown to each other.
+    """
+    fleet = make_fleet(60)
+    node = next(iter(fleet.values()))
+    now_s = time.monotonic()
+    node.peers.learn("10.0.9.9:7", now_s=now_s)
+    gossip = make_gossip(node)
+    assert "10.0.9.9:7" in gossip._list_hubs(now_s=now_s)
+    assert gossip._plan_greetings(60, now_s=now_s).hubs_s <= 2.0
+
+
 def test_a_hub_is_greeted_often_by_its_own_failure_domain_only():
     """195 nodes greeted each of five hubs 2.5 times a second.
 
--- a/lycheetide/relay/tests/test_start.py
+++ b/lycheetide/relay/tests/test_start.py
@@ -4,9 +4,10 @@
 import time
 
 import msgspec
+import pytest
 
 from lycheetide.exchange import Batch, Record
-from lycheetide.relay._follow import take
+from lycheetide.relay._follow import SETTLED_S, STARTING_S, is_starting, take
 from lycheetide.replicas import ReplicaTable
 from standins.large import make_large_relay
 from standins.replica import Replica
@@ -61,6 +62,29 @@
     assert [row[1] for row in message.records] == ["r-0"]
 
 
+def test_what_changes_while_a_fleet_starts_is_told_by_nobody(caplog):
+    """195 replicas register within seconds, and each of 195 nodes reads of each.
+
+    None of them knows the others yet, and each told all of it to all.
+    """
+    relay, told, _ = list_first(caplog, make_listing(3))
+    (record,) = make_listing(1, first=7).records
+    later = Record(500, record.key, record.value)
+    relay.peers.grown_s = time.monotonic()
+    take(relay, "registry", Batch((later,), 501), now_s=time.monotonic())
+    assert told == []
+
+
+@pytest.mark.parametrize("is_new", [True, False])
+def test_a_reader_tells_of_changes_while_others_start(is_new):
+    """A release replaces a node each half second, and the reader tells nothing."""
+    relay = make_large_relay(3, 1)
+    now_s = time.monotonic()
+    relay.peers.grown_s = now_s - (2 * SETTLED_S if is_new else 0.0)
+    relay.started_s = now_s - (0.1 if is_new else 2 * STARTING_S)
+    assert not is_starting(relay, now_s=now_s)
+
+
 def test_a_node_that_starts_logs_no_line_for_each_replica(caplog):
     """A fleet of 195 nodes wrote 39,000 lines in its first second."""
     _, _, records = list_first(caplog, make_listing(195))
