Let only the reader tell all nodes of what it read

Cause: whoever read of a change told all; while links are full knowledge grows old, so hubs and other nodes read for themselves, and told all again what had been lost. Change: the reader tells all, another hub its own failure domain, and nobody else. Ruled out: telling by hubs in bundles (a change is due within 2 s at each node, and a frozen hub would hold it back).

--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -13,6 +13,7 @@
 from lycheetide.relay._sharing import (
     decode_changes,
     is_hub,
+    is_reader,
     make_changes,
     must_read,
     waits_for_operators,
@@ -218,18 +219,31 @@
         taken = take_registry(relay, listed, batch, now_s=now_s)
         log_changes(relay, taken, is_first=is_first, is_read=read_s is None)
         forget_removed(source)
-        # Others know what a node lists first, or read it as well while it doesn't know
-        # them yet. Told by each node to all when a fleet starts, it fills every link.
-        if (
-            taken
-            and read_s is None
-            and not (is_first or is_starting(relay, now_s=now_s))
-        ):
-            for message in make_changes(relay, taken, now_s=now_s):
-                relay.tell_change(message)
+        if taken and read_s is None and not is_first:
+            tell_changes(relay, taken, now_s=now_s)
     source.offset = max(source.offset, batch.end)
 
 
+def tell_changes(relay, changes, *, now_s):
+    """Tell others of changes that this node has read.
+
+    The node that reads for all tells all. Another hub tells its failure domain, since
+    every domain has one, and all others tell nobody. Nor does a node that has just
+    started and still comes to know its peers, or takes itself for the only one: each of
+    195 nodes that start would tell all others of each replica, and fill every link.
+    """
+    if is_starting(relay, now_s=now_s):
+        return
+    if is_reader(relay, now_s=now_s):
+        tell = relay.tell_change
+    elif is_hub(relay, now_s=now_s):
+        tell = relay.tell_near
+    else:
+        return
+    for message in make_changes(relay, changes, now_s=now_s):
+        tell(message)
+
+
 def is_starting(relay, *, now_s):
     """Tell whether this node has just started and still comes to know its peers."""
     is_new = now_s - relay.started_s < STARTING_S
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -82,6 +82,7 @@
     gossip = Gossip(relay, listener)
     relay.tell_work = gossip.spreader.tell
     relay.tell_change = gossip.spreader.tell_all
+    relay.tell_near = gossip.spreader.tell_near
     relay.tell_news = gossip.tell_news
     stopped = anyio.Event()
     async with anyio.create_task_group() as group:
--- a/lycheetide/relay/_spreading.py
+++ b/lycheetide/relay/_spreading.py
@@ -47,6 +47,12 @@
         for peer in self.relay.peers.alive(now_s=read_clock()):
             self._send(data, peer.address)
 
+    def tell_near(self, message):
+        """Send a message to the living peers of this node's failure domain."""
+        data = encode_message(message)
+        for address in self._list_near(now_s=read_clock()):
+            self._send(data, address)
+
     def tell(self, message):
         """Tell all peers of this node's work."""
         now_s = read_clock()
@@ -76,16 +82,20 @@
 
     def _pass_on(self, messages, *, now_s):
         """Send messages to the nodes of this failure domain."""
+        near = self._list_near(now_s=now_s)
+        for bundle in make_bundles(self.relay.node, messages):
+            data = encode_message(bundle)
+            for address in near:
+                self._send(data, address)
+
+    def _list_near(self, *, now_s):
+        """Return the addresses of the living peers of this node's failure domain."""
         domain = self.relay.settings.failure_domain
-        near = [
+        return [
             peer.address
             for peer in self.relay.peers.alive(now_s=now_s)
             if peer.failure_domain == domain
         ]
-        for bundle in make_bundles(self.relay.node, messages):
-            data = encode_message(bundle)
-            for address in near:
-                self._send(data, address)
 
 
 def is_large(relay, *, now_s):
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -110,6 +110,7 @@
         self.tasks = None
         self.tell_work = None
         self.tell_change = None
+        self.tell_near = None
         self.tell_news = None
         self.operator_read = None
         self.operator_news = anyio.Event()
--- a/lycheetide/relay/tests/test_start.py
+++ b/lycheetide/relay/tests/test_start.py
@@ -2,13 +2,20 @@
 
 import logging
 import time
+from dataclasses import replace
 
 import msgspec
 import pytest
 
 from lycheetide.exchange import Batch, Record
-from lycheetide.relay._follow import SETTLED_S, STARTING_S, is_starting, take
-from lycheetide.replicas import ReplicaTable
+from lycheetide.relay._follow import (
+    SETTLED_S,
+    STARTING_S,
+    is_starting,
+    take,
+    tell_changes,
+)
+from lycheetide.replicas import Change, ReplicaTable
 from standins.large import make_large_relay
 from standins.replica import Replica
 
@@ -75,6 +82,30 @@
     assert told == []
 
 
+@pytest.mark.parametrize(
+    ("wider", "expected"), [((), "all"), (("zone-1",), "near"), (("zone-0",), "")]
+)
+def test_only_the_reader_tells_all_of_what_it_read(wider, expected):
+    """Knowledge grew old as links were full, and each node that read told all others.
+
+    ``wider`` are the failure domains where another node has a wider link than this
+    one, in zone-0: the reader is elsewhere then, or this node's own hub is.
+    """
+    relay = make_large_relay(10, 3)
+    relay.started_s -= 2 * STARTING_S
+    now_s = time.monotonic()
+    for address, peer in list(relay.peers.peers.items()):
+        link_mbps = 100 if peer.failure_domain in wider else 0
+        order = relay.order + 1
+        relay.peers.peers[address] = replace(peer, link_mbps=link_mbps, order=order)
+    told = []
+    relay.tell_change = lambda message: told.append("all")
+    relay.tell_near = lambda message: told.append("near")
+    change = Change("i-0000000000", 99, None)
+    tell_changes(relay, [change], now_s=now_s)
+    assert told == ([expected] if expected else [])
+
+
 @pytest.mark.parametrize("is_new", [True, False])
 def test_a_reader_tells_of_changes_while_others_start(is_new):
     """A release replaces a node each half second, and the reader tells nothing."""
