Say when a fleet of the tests was heard, and tear settings once signals are caught

Its bounds are as they were. test_settings_are_torn: the wait for a process that has read its settings ended at once, since a process that ignores hangups passed as one that listens. The script ran under a parent that ignores them; but a node ignores them too while it loads its libraries, so the mend of the soak did not work. It looks for a handler now, and the test's process ignores hangups first, as a node does.

--- a/lycheetide/relay/tests/test_readers.py
+++ b/lycheetide/relay/tests/test_readers.py
@@ -41,15 +41,15 @@
 @pytest.mark.parametrize("size", [2, 9, 22, 60])
 def test_one_node_of_the_fleet_reads(size):
     """One node of each of five failure domains read, and each call is paid for."""
-    nodes = list(make_fleet(size).values())
     now_s = time.monotonic()
+    nodes = list(make_fleet(size, now_s=now_s).values())
     assert len(find_readers(nodes, now_s=now_s)) == 1
 
 
 def test_a_frozen_reader_is_replaced_in_time():
     """The reader is frozen, and nobody knows of a replica that leaves meanwhile."""
-    nodes = list(make_fleet(22).values())
     now_s = time.monotonic()
+    nodes = list(make_fleet(22, now_s=now_s).values())
     (reader,) = find_readers(nodes, now_s=now_s)
     others = [node for node in nodes if node is not reader]
     for node in others:
@@ -67,8 +67,8 @@
 
     It goes on greeting; knowledge of the others would be a second old all the time.
     """
-    nodes = list(make_fleet(22).values())
     now_s = time.monotonic()
+    nodes = list(make_fleet(22, now_s=now_s).values())
     (reader,) = find_readers(nodes, now_s=now_s)
     reader.reads_store, reader.registry.failures = False, 1
     let_hear(nodes, [reader], now_s=now_s)
@@ -78,8 +78,9 @@
 
 def test_both_sides_of_a_cut_have_a_reader():
     """Two failure domains hear nothing of the other two."""
-    nodes = list(make_fleet(22).values())
-    now_s = time.monotonic() + HUB_SILENT_S + 0.1
+    now_s = time.monotonic()
+    nodes = list(make_fleet(22, now_s=now_s).values())
+    now_s = now_s + HUB_SILENT_S + 0.1
     for side in (DOMAINS[:2], DOMAINS[2:]):
         inside = [node for node in nodes if node.settings.failure_domain in side]
         let_hear(inside, inside, now_s=now_s)
@@ -91,8 +92,9 @@
 
     What it hears is as fresh as for all others, so its reads would bring nothing.
     """
-    nodes = list(make_fleet(22).values())
-    now_s = time.monotonic() + HUB_SILENT_S + 0.1
+    now_s = time.monotonic()
+    nodes = list(make_fleet(22, now_s=now_s).values())
+    now_s = now_s + HUB_SILENT_S + 0.1
     deaf = [node for node in nodes if node.settings.failure_domain != "d"]
     let_hear(deaf, deaf, now_s=now_s)
     let_hear([node for node in nodes if node not in deaf], nodes, now_s=now_s)
@@ -114,16 +116,16 @@
 @pytest.mark.parametrize("size", [2, 9, 22, 195])
 def test_few_nodes_wait_for_operators_records(size):
     """Each of 195 nodes waited at the store, and read each configuration there."""
-    nodes = list(make_fleet(size).values())
     now_s = time.monotonic()
+    nodes = list(make_fleet(size, now_s=now_s).values())
     waiting = [node for node in nodes if waits_for_operators(node, now_s=now_s)]
     assert min(size, 3) <= len(waiting) <= len(DOMAINS) + OPERATOR_READERS - 1
 
 
 def test_several_wait_in_a_fleet_of_one_failure_domain():
     """The only one that waits is frozen, and a key that was taken away stays valid."""
-    nodes = list(make_fleet(9, domains=("a",)).values())
     now_s = time.monotonic()
+    nodes = list(make_fleet(9, domains=("a",), now_s=now_s).values())
     waiting = [node for node in nodes if waits_for_operators(node, now_s=now_s)]
     assert len(waiting) == 3
 
--- a/lycheetide/relay/tests/test_spreading.py
+++ b/lycheetide/relay/tests/test_spreading.py
@@ -64,17 +64,18 @@
     )  # fmt: skip
 
 
-def make_fleet(count, *, domains=DOMAINS, links_mbps=()):
-    """Return nodes that have just heard one another, by address.
+def make_fleet(count, *, now_s=None, domains=DOMAINS, links_mbps=()):
+    """Return nodes that have heard one another, by default just now, by address.
 
-    The first nodes have the links that are given.
+    The first nodes have the links that are given. To make a large fleet takes a second
+    on a busy machine, after which its nodes count as silent; so tests say when it was.
     """
     links_mbps = [*links_mbps, *(0.0 for _ in range(count))]
     nodes = [
         make_node(index, domains=domains, link_mbps=links_mbps[index])
         for index in range(count)
     ]
-    now_s = time.monotonic()
+    now_s = time.monotonic() if now_s is None else now_s
     for node in nodes:
         for other in nodes:
             if other is not node:
@@ -89,8 +90,8 @@
 
 
 def test_nodes_agree_on_one_hub_a_failure_domain():
-    fleet = make_fleet(60)
     now_s = time.monotonic()
+    fleet = make_fleet(60, now_s=now_s)
     hubs = [node for node in fleet.values() if is_hub(node, now_s=now_s)]
     assert sorted(hub.settings.failure_domain for hub in hubs) == list(DOMAINS)
     for node in fleet.values():
@@ -110,16 +111,16 @@
     links_mbps = [10.0] * 195
     for place in range(90, 105):
         links_mbps[place] = 100.0
-    fleet = make_fleet(195, domains=domains, links_mbps=links_mbps)
     now_s = time.monotonic()
+    fleet = make_fleet(195, domains=domains, links_mbps=links_mbps, now_s=now_s)
     hubs = [node for node in fleet.values() if is_hub(node, now_s=now_s)]
     assert sorted(hub.settings.failure_domain for hub in hubs) == list(domains)
     assert {hub.settings.link_mbps for hub in hubs} == {100.0}
-    bits_per_s = 8 * count_passed_on(hubs[0], per_s=160)
+    bits_per_s = 8 * count_passed_on(hubs[0], per_s=160, now_s=now_s)
     assert bits_per_s < 0.2 * hubs[0].settings.link_mbps * 1e6
 
 
-def count_passed_on(hub, *, per_s):
+def count_passed_on(hub, *, per_s, now_s):
     """Return the bytes that a hub sends in a second for so many prompts, with heads."""
     sent: list[bytes] = []
     hub.spreader._send = lambda data, _: sent.append(data)
@@ -129,7 +130,7 @@
         for number in range(turn * per_s // turns, (turn + 1) * per_s // turns):
             started = make_started(number)
             messages += [started, Ended(started.node, started.job)]
-        hub.spreader._pass_on(messages, now_s=time.monotonic())
+        hub.spreader._pass_on(messages, now_s=now_s)
     return sum(len(data) + DATAGRAM_HEAD_BYTES for data in sent)
 
 
@@ -245,8 +246,8 @@
     On a link of 10 Mbit/s each round held all else up for 70 ms, and nodes knew that
     late of one another's work.
     """
-    fleet = make_fleet(92)
     now_s = time.monotonic()
+    fleet = make_fleet(92, now_s=now_s)
     per_s = count_greetings(fleet, now_s=now_s)
     hubs = {n.peers.own_address for n in fleet.values() if is_hub(n, now_s=now_s)}
     others = [rate for address, rate in per_s.items() if address not in hubs]
@@ -273,8 +274,8 @@
 
     Each hub took in 490 greetings a second, a third of what a small link carries.
     """
-    fleet = make_fleet(195, domains=("a", "b", "c", "d", "e"))
     now_s = time.monotonic()
+    fleet = make_fleet(195, domains=("a", "b", "c", "d", "e"), now_s=now_s)
     per_s = count_greetings(fleet, now_s=now_s)
     hubs = {n.peers.own_address for n in fleet.values() if is_hub(n, now_s=now_s)}
     assert all(90 < per_s[hub] < 220 for hub in hubs)
@@ -283,8 +284,8 @@
 @pytest.mark.parametrize(("count", "most_per_s"), [(9, 30), (22, 45)])
 def test_greetings_of_a_fleet_without_hubs_are_few(count, most_per_s):
     """Each of 22 nodes greeted all others 3.3 times a second, 70 greetings to each."""
-    fleet = make_fleet(count)
     now_s = time.monotonic()
+    fleet = make_fleet(count, now_s=now_s)
     per_s = 0.0
     for node in fleet.values():
         pauses = make_gossip(node)._plan_greetings(count - 1, now_s=now_s)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -16,7 +16,7 @@
 from soak.proxy import Proxy
 from soak.replicas import COLD_PER_S, SoakReplica
 from standins.http import LOOPBACK
-from standins.local import find_port, takes_hangups
+from standins.local import catches_hangups, find_port, takes_hangups
 from standins.relayed import CUSTOMER, HOST, KEY, make_config
 from standins.store import Store
 
@@ -77,9 +77,9 @@
 
     @property
     def has_read_settings(self):
-        """Whether its process runs and has read them, which it does before signals."""
+        """Whether its process runs and has read them; it listens for signals then."""
         is_running = self.popen is not None and self.popen.poll() is None
-        return is_running and takes_hangups(self.popen.pid)
+        return is_running and catches_hangups(self.popen.pid)
 
     @property
     def in_rotation(self):
--- a/soak/tests/test_faults.py
+++ b/soak/tests/test_faults.py
@@ -14,8 +14,9 @@
 LOADS_S = 0.6
 PROGRAM = f"""
 import signal, time
-time.sleep({LOADS_S})
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
+time.sleep({LOADS_S})
+signal.signal(signal.SIGHUP, lambda *_: None)
 time.sleep(60)
 """
 
--- a/standins/local.py
+++ b/standins/local.py
@@ -81,10 +81,23 @@
 
     While an interpreter starts, before it runs any code of ours, it ends it.
     """
+    return _handles_hangups(pid, "SigIgn") or catches_hangups(pid)
+
+
+def catches_hangups(pid):
+    """Tell whether a process listens for hangups.
+
+    A node ignores them while it loads its libraries, and so does a process whose
+    parent does; it listens once it has read its settings.
+    """
+    return _handles_hangups(pid, "SigCgt")
+
+
+def _handles_hangups(pid, way):
+    """Tell whether hangups are in one of the signal masks of a process."""
     with open(f"/proc/{pid}/status", encoding="ascii") as file:
         rows = dict(line.split(":", 1) for line in file)
-    taken = int(rows["SigIgn"], 16) | int(rows["SigCgt"], 16)
-    return bool(taken & 1 << (signal.SIGHUP - 1))
+    return bool(int(rows[way], 16) & 1 << (signal.SIGHUP - 1))
 
 
 @dataclass
