End a prompt whose caller leaves before its first token

What callers saw: nothing themselves; others did. A caller of the own interface that hung up before the first token, or that had asked for its answer in one piece, left its prompt running: slot and memory stayed taken until the answer was whole or its deadline had passed, and a caller that asks again adds another.

Cause: the framework looks for a caller's leaving only while it writes a stream. Before that the handler waits for the run and nothing else.

Evidence: lycheetide/node/tests/test_leaving_callers.py, engines that begin 8 s late, callers that hang up after 0.8 s. Before: 2 of 2 cases fail, memory still held 1.5 s after the callers left. After: 2 of 2 pass.

Why this works: a prompt or a lookup is served beside a task that waits for the caller's leaving and cancels it. The server tells of that once, so it is remembered for the writer of a stream, which waits for it later. Bookings outlive their callers on purpose and still do.

--- a/lycheetide/node/_door.py
+++ b/lycheetide/node/_door.py
@@ -2,20 +2,21 @@
 
 from collections.abc import AsyncIterator
 
-import anyio
 import msgspec
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse, StreamingResponse
+from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
 from lycheetide.metrics import get_log
+from lycheetide.node._answer import start_answer
 from lycheetide.node._booking_errors import refused_with_key
 from lycheetide.node._booking_keys import issue_key, read_key
 from lycheetide.node._bookings import serve_booking
-from lycheetide.node._prompts import Prompt, Token, serve_prompt, to_request_error
+from lycheetide.node._leaving import CallerLeft, remember_leaving, serve_while_present
+from lycheetide.node._prompts import Prompt, to_request_error
 from lycheetide.node._services import serve_lookup
 from lycheetide.node._state import draw_id, read_clock
-from lycheetide.outcomes import Failed, NotRun, Reason, RequestError
+from lycheetide.outcomes import NotRun, Reason, RequestError
 from lycheetide.routing import (
     Admitted,
     authenticate,
@@ -26,9 +27,10 @@
 )
 
 DONE = b"data: [DONE]\n\n"
-TOKENS_BUFFERED = 64
 LARGEST_ANSWER_TOKENS = 32_768
 REQUEST_ID = "x-request-id"
+CALLER_LEFT = 499
+"""Status of an answer that nobody reads."""
 
 log = get_log("door")
 
@@ -157,7 +159,7 @@
 
     def make_app(self):
         """Return the HTTP application."""
-        return Starlette(
+        app = Starlette(
             routes=[
                 Route("/healthz", self.tell_health),
                 Route("/readyz", self.tell_ready),
@@ -170,6 +172,7 @@
                 ),
             ]
         )
+        return remember_leaving(app)
 
     async def tell_health(self, request):
         """Say that the process runs."""
@@ -190,6 +193,8 @@
         try:
             response, keeps_active = await serve(request, request_id)
             return response
+        except CallerLeft:
+            return self._note_leaving(request_id)
         except Exception as caught:
             if not isinstance(caught, RequestError):
                 log.exception("A request failed inside the node.")
@@ -213,6 +218,13 @@
                    "reason": str(error.reason), "cause": error.message},
         )  # fmt: skip
 
+    def _note_leaving(self, request_id):
+        """Count and log a request whose caller left; return an answer for nobody."""
+        self.node.counters.add("requests.caller_left")
+        self.node.note(request_id, "The caller left.")
+        log.info("The caller left.", extra={"request_id": request_id})
+        return Response(status_code=CALLER_LEFT)
+
     async def issue(self, request):
         """Issue an idempotency key."""
         return await self._guard(request, self._issue)
@@ -248,13 +260,16 @@
             msgspec.json.decode(body)
         except msgspec.MsgspecError as error:
             raise NotRun(Reason.BAD_BODY, str(error), status=400) from None
-        if operation.idempotent:
-            answer = await serve_lookup(node, admitted, operation, body)
-        else:
+
+        async def serve():
+            if operation.idempotent:
+                return await serve_lookup(node, admitted, operation, body)
             key = read_key(
                 request.headers.get("idempotency-key", ""), admitted.customer
             )
-            answer = await serve_booking(node, admitted, operation, body, key)
+            return await serve_booking(node, admitted, operation, body, key)
+
+        answer = await serve_while_present(request, serve)
         node.counters.add("answers")
         headers = {REQUEST_ID: request_id}
         return JSONResponse(answer.body, answer.status, headers), False
@@ -276,8 +291,10 @@
         )  # fmt: skip
         answer = start_answer(node, admitted, prompt)
         if not parsed.stream:
-            return await self._collect(answer, parsed, request_id), False
-        first = await answer.receive_first()
+            return await serve_while_present(
+                request, lambda: self._collect(answer, parsed, request_id)
+            ), False
+        first = await serve_while_present(request, answer.receive_first)
         events = self._stream(answer, first, parsed, request_id)
         headers = {REQUEST_ID: request_id, "cache-control": "no-store"}
         response = StreamingResponse(
@@ -329,86 +346,3 @@
         "choices": [{"index": 0, "text": token.text, "seq": token.seq}],
     }
     return b"data: " + msgspec.json.encode(event) + b"\n\n"
-
-
-class CallerLeft(Exception):
-    """The caller has gone away; nobody reads the answer."""
-
-
-class Answer:
-    """A prompt's answer on its way from the run to the caller.
-
-    The run is a task of the node's own, so that the caller's going away cancels it
-    and nothing else.
-    """
-
-    def __init__(self):
-        self._send, self._receive = anyio.create_memory_object_stream[Token](
-            TOKENS_BUFFERED
-        )
-        self._scope = anyio.CancelScope()
-        self._error: RequestError | None = None
-        self._is_whole = False
-
-    async def run(self, node, admitted, prompt):
-        """Serve the prompt; errors are raised at the reader."""
-        with self._scope:
-            try:
-                await serve_prompt(node, admitted, prompt, self._emit)
-                self._is_whole = True
-            except CallerLeft:
-                return
-            except Exception as error:
-                if not isinstance(error, RequestError):
-                    log.exception("A prompt failed inside the node.")
-                self._error = to_request_error(error)
-            finally:
-                self._send.close()
-
-    async def _emit(self, token):
-        """Pass a token on to the caller."""
-        try:
-            await self._send.send(token)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise CallerLeft from error
-
-    async def receive_first(self):
-        """Return the first token, or None for an empty answer."""
-        try:
-            return await anext(self)
-        except StopAsyncIteration:
-            return None
-        except BaseException:
-            self.cancel()
-            raise
-
-    def __aiter__(self):
-        """Return this answer."""
-        return self
-
-    async def __anext__(self):
-        """Return the next token."""
-        try:
-            return await self._receive.receive()
-        except anyio.EndOfStream:
-            if self._error is not None:
-                raise self._error from None
-            if not self._is_whole:
-                # A run that ended in any unforeseen way has left a short answer; it
-                # must never look like a whole one.
-                raise Failed(
-                    Reason.INTERNAL, "the answer was cut inside the node", status=500
-                ) from None
-            raise StopAsyncIteration from None
-
-    def cancel(self):
-        """Stop the run, if it still goes on."""
-        self._scope.cancel()
-        self._receive.close()
-
-
-def start_answer(node, admitted, prompt):
-    """Begin to serve a prompt."""
-    answer = Answer()
-    node.tasks.start_soon(answer.run, node, admitted, prompt)
-    return answer
