Hear the others before choosing a place

Cause: a node whose loop has stalled serves the callers that came meanwhile before it reads what the others told it, and takes the whole limit of a replica once more.

Evidence: relay/tests/test_cold_limits.py, a_node_whose_loop_stalled: one node tells of twelve sendings, the other chooses before its loop turns. Before: the replica is among those that may be taken (fails each time). After: it isn't.

Why this works: the datagrams that are there are read, without waiting, at the moment of each choice; one look costs a system call where there are none.

--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -259,8 +259,16 @@
         """Take datagrams in, for ever; all that are there at each wake-up."""
         while True:
             await anyio.wait_readable(self.listener)
-            for data in receive_all(self.listener):
-                self._take_datagram(data, now_s=read_clock())
+            self.take_waiting()
+
+    def take_waiting(self):
+        """Take in the datagrams that are there.
+
+        A node whose loop has stalled may choose a place before ``listen`` is woken up,
+        and doesn't know then what the others sent meanwhile.
+        """
+        for data in receive_all(self.listener):
+            self._take_datagram(data, now_s=read_clock())
 
     def _take_datagram(self, data, *, now_s):
         """Take one datagram in; a broken one is counted."""
--- a/lycheetide/relay/_place.py
+++ b/lycheetide/relay/_place.py
@@ -69,6 +69,7 @@
     usable : list of Candidate
         All that take work.
     """
+    relay.take_news()
     now_s = read_clock()
     homes = (call.route.regions, call.customer.regions if call.customer else ())
     usable = relay.candidates(
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -84,6 +84,7 @@
     relay.tell_change = gossip.spreader.tell_all
     relay.tell_near = gossip.spreader.tell_near
     relay.tell_news = gossip.tell_news
+    relay.take_news = gossip.take_waiting
     stopped = anyio.Event()
     async with anyio.create_task_group() as group:
         relay.tasks = GuardedTasks(group, relay.counters)
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -38,6 +38,10 @@
     return time.monotonic()
 
 
+def _take_nothing():
+    """Stand for a node that hears nobody."""
+
+
 @dataclass
 class Source:
     """What was read of one topic of the store.
@@ -114,6 +118,7 @@
         self.tell_change = None
         self.tell_near = None
         self.tell_news = None
+        self.take_news = _take_nothing
         self.operator_read = None
         self.operator_news = anyio.Event()
         self.differs_since_s = None
