Announce a sending anew that is late or repeated

Cause: the others count a request from its placing. One whose connection takes long, and one that goes out again since a kept connection was closed, arrives in a second in which they don't count it.

Evidence: relay/tests/test_cold_limits.py. A connection that takes 0.35 s: 0.85 s after the sending another node counts 0 requests before, 1 after. A request that is sent twice: it counts 2 of 3 sendings before, 3 after.

Why this works: such a sending is told once more, as a request that asks nothing of the replica and has ended.

--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -16,6 +16,9 @@
 
 CONNECT_S = 0.4
 """How long a connection may take: a hundred round trips between failure domains."""
+LATE_START_S = 0.05
+"""A request that goes out so much later than it was announced is announced again: the
+others count it for a second from when they hear of it."""
 JOB_SLACK_S = 1.0
 """How long after its deadline a request is taken for ended if nobody says so."""
 
@@ -74,6 +77,25 @@
         relay.tell_work(Ended(relay.node, job_id))
 
 
+def announce_start(relay, replica, *, now_s):
+    """Tell all nodes of a sending that they wouldn't count in its second.
+
+    It is told as a request that asks nothing of the replica and has ended.
+    """
+    job_id = relay.next_job()
+    started = Started(
+        relay.node,
+        job_id,
+        (Part(replica, 0.0),),
+        lasts_ms=0,
+        sent_ms=make_sent_ms(now_s),
+    )
+    relay.board.start(make_job(started, now_s=now_s), now_s=now_s)
+    relay.board.end(relay.node, job_id, now_s=now_s)
+    relay.tell_work(started)
+    relay.tell_work(Ended(relay.node, job_id))
+
+
 @asynccontextmanager
 async def open_attempt(
     relay, call, placement, *, head_s, more=None, tickets=(), resume_after=b""
@@ -156,6 +178,7 @@
     """
     is_fresh = not call.route.is_repeatable
     is_counted = False
+    announced_s = read_clock()
     while True:
         relay.note_placed(first.id)
         try:
@@ -169,7 +192,11 @@
             is_counted = True
         is_kept = channel.served > 0
         try:
-            relay.note_start(first.id, now_s=read_clock())
+            now_s = read_clock()
+            relay.note_start(first.id, now_s=now_s)
+            if now_s - announced_s > LATE_START_S:
+                announce_start(relay, first.id, now_s=now_s)
+            announced_s = float("-inf")
             head = await channel.request(outgoing, timeout_s=head_s, more=more)
             return channel, head
         except BaseException as error:
--- a/lycheetide/relay/tests/test_cold_limits.py
+++ b/lycheetide/relay/tests/test_cold_limits.py
@@ -2,9 +2,10 @@
 
 import time
 
+import anyio
 import pytest
 
-from lycheetide.board import Started
+from lycheetide.board import START_WINDOW_S, Started
 from lycheetide.board._messages import Part
 from lycheetide.relay._place import list_candidates
 from lycheetide.relay._serve import make_call
@@ -62,3 +63,53 @@
         open_now, usable = list_candidates(stalled, make_lookup(stalled))
     assert {one.id for one in usable} == {"r-0", "r-1"}
     assert {one.id for one in open_now} == {"r-1"}
+
+
+async def test_others_count_a_request_that_goes_out_late_in_its_own_second():
+    """A connection takes so long that the others no longer count its request.
+
+    They were told of it when it was placed; two seconds' requests then arrive in one.
+    """
+    async with Relayed(relays=2, replicas=1) as fleet:
+        await wait_for_peers(fleet)
+        late, other = fleet.relays
+        sent_s = []
+        open_channel, note_start = late.pool.open, late.note_start
+
+        async def open_late(*args, **options):
+            await anyio.sleep(0.35)
+            return await open_channel(*args, **options)
+
+        def keep_start(replica, *, now_s):
+            sent_s.append(now_s)
+            note_start(replica, now_s=now_s)
+
+        late.pool.open = open_late
+        late.note_start = keep_start
+        assert (await fleet.look()).status_code == 200
+        await anyio.sleep(sent_s[0] + 0.85 - time.monotonic())
+        counted = other.board.starts_within(
+            "r-0", START_WINDOW_S, now_s=time.monotonic()
+        )
+    assert len(sent_s) == 1
+    assert counted == 1
+
+
+async def test_a_request_that_is_sent_again_is_counted_again():
+    """A kept connection was closed, and its request goes out once more.
+
+    Both sendings may reach the replica; others that know of one take too much.
+    """
+    async with Relayed(relays=2, replicas=1) as fleet:
+        await wait_for_peers(fleet)
+        _, other = fleet.relays
+        (replica,) = fleet.replicas
+        assert (await fleet.look()).status_code == 200
+        replica.drops_kept = True
+        before = other.board.starts_within(
+            "r-0", START_WINDOW_S, now_s=time.monotonic()
+        )
+        assert (await fleet.look()).status_code == 200
+        await anyio.sleep(0.1)
+        after = other.board.starts_within("r-0", START_WINDOW_S, now_s=time.monotonic())
+    assert (before, after) == (1, 3)
