Log how long a process stood still, and how long each step of its start took

What was missing: a prompt refused after a thaw, a limit overshot and work that outlived its caller could each come from a process that stood still, or not, and no line told. A start that takes seconds on a busy host couldn't be told from a late readiness.

Now each process notes a loop that turns 0.4 s late or later (`The process stood still.`, for_ms; counter node.stood_still), and a relay logs once, when it is ready, how long it took to get to its own code, to a configuration, to replicas and to readiness (`The node takes callers.`). Both lines say nothing on a calm machine but once.

--- a/lycheetide/metrics/__init__.py
+++ b/lycheetide/metrics/__init__.py
@@ -3,6 +3,7 @@
 from lycheetide.metrics._counters import Counters, make_statsd
 from lycheetide.metrics._explain import Explanations, Step
 from lycheetide.metrics._logs import PARTS, get_log, set_up_logs
+from lycheetide.metrics._process import read_process_age_s
 from lycheetide.metrics._timeline import (
     HIDDEN,
     find_cause,
@@ -20,6 +21,7 @@
     "get_log",
     "make_statsd",
     "read_lines",
+    "read_process_age_s",
     "set_up_logs",
     "sort_lines",
 ]
--- /dev/null
+++ b/lycheetide/metrics/_process.py
@@ -0,0 +1,24 @@
+"""How long this process has run, by the system's own record."""
+
+import os
+import time
+
+_START_FIELD = 19
+"""Place of the start time behind the command's name, as proc(5) counts fields."""
+
+
+def read_process_age_s():
+    """Return how long ago the system started this process, in seconds.
+
+    Returns
+    -------
+    float or None
+        To a hundredth; None where the system doesn't tell.
+    """
+    try:
+        with open("/proc/self/stat", encoding="ascii", errors="replace") as file:
+            fields = file.read().rpartition(")")[2].split()
+        started_s = int(fields[_START_FIELD]) / os.sysconf("SC_CLK_TCK")
+        return max(0.0, time.clock_gettime(time.CLOCK_BOOTTIME) - started_s)
+    except (OSError, ValueError, IndexError, AttributeError):
+        return None
--- a/lycheetide/placement/tests/test_news.py
+++ b/lycheetide/placement/tests/test_news.py
@@ -33,7 +33,7 @@
         self.limit_per_s = limit_per_s
         self.allowance = share_cold_limits(name, nodes)(limit_per_s, REPLICA)
         self.board = Board()
-        self.starts_s = deque()
+        self.starts_s: deque[float] = deque()
         self.sent = 0
 
     def may_send(self, now_s, *, is_cold=False):
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -8,16 +8,18 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from lycheetide.metrics import read_process_age_s
 from lycheetide.relay._follow import follow_operator, follow_registry, make_peer_app
 from lycheetide.relay._gossip import Gossip, discover, make_listener
 from lycheetide.relay._ingress import make_ingress, make_readiness
 from lycheetide.relay._reload import reload_settings, watch_settings
 from lycheetide.relay._state import RelayState, read_clock
-from lycheetide.tasks import GuardedTasks, keep_running
+from lycheetide.tasks import GuardedTasks, keep_running, watch_standstill
 
 EXIT_MARGIN_S = 0.7
 """Kept back of the time that a planned stop may take, for the exit itself."""
 BACKLOG = 512
+START_LOOK_S = 0.02
 OWN_IDLE_S = 60.0
 """How long connections of the platform and of peers may stay idle."""
 
@@ -76,6 +78,7 @@
     on_start : callable or None
         Gets the relay's state.
     """
+    process_age_s = read_process_age_s()
     node = f"{settings.name}.{time.time_ns() % 10**9:x}.{os.getpid():x}"
     relay = RelayState(settings, adapter, node, settings_path=settings_path)
     listener = make_listener(settings.peer_address)
@@ -96,9 +99,11 @@
             gossip.spreader.pass_on,
             gossip.expire,
             watch_settings,
+            watch_standstill,
         ):
             group.start_soon(keep_running, relay, part)
         relay.tasks.start_soon(discover, relay)
+        relay.tasks.start_soon(report_start, relay, process_age_s)
         await group.start(follow_stop, relay)
         async with anyio.create_task_group() as servers:
             for app, address, idle_s in list_apps(relay):
@@ -120,6 +125,32 @@
     relay.log.info("The node has stopped.", extra={"member": node})
 
 
+async def report_start(relay, process_age_s):
+    """Log once how long each step of the start took.
+
+    Parameters
+    ----------
+    relay : RelayState
+        This node.
+    process_age_s : float or None
+        How long the process had run when it began to serve: the interpreter, the
+        libraries and the settings.
+    """
+    steps = {
+        "configuration_ms": lambda: relay.table is not None,
+        "replicas_ms": lambda: relay.replicas.replicas,
+        "ready_ms": lambda: relay.is_ready(now_s=read_clock()),
+    }
+    took_ms = {} if process_age_s is None else {"process_ms": process_age_s * 1e3}
+    while steps.keys() - took_ms.keys():
+        for name, is_done in steps.items():
+            if name not in took_ms and is_done():
+                took_ms[name] = (read_clock() - relay.started_s) * 1e3
+        await anyio.sleep(START_LOOK_S)
+    extra = {name: round(value) for name, value in took_ms.items()}
+    relay.log.info("The node takes callers.", extra=extra)
+
+
 def list_apps(relay):
     """Return each application of a relay with its address and idle time."""
     settings = relay.settings
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -31,6 +31,7 @@
 from lycheetide.relay._used import Used
 from lycheetide.replicas import ReplicaTable, drop_dark_domains
 from lycheetide.routes import RouteTable
+from lycheetide.tasks import Standstill
 
 
 def read_clock():
@@ -108,6 +109,7 @@
         self.memory_queue = MemoryQueue()
         self.peers = Peers(settings.peer_address, fleet=settings.store_address)
         self.pool = ChannelPool()
+        self.standstill = Standstill()
         self.started_s = read_clock()
         self.used = Used(now_s=self.started_s)
         self.active = 0
--- /dev/null
+++ b/lycheetide/tasks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tasks."""
