Count a grant as proved only once the engine's present life has its request

What callers saw: engines that restart under load fall over, their streams break, are sent again and break again (test_cold, listed, seen now and then on busy machines).

Cause: an owner's grants were proved by a load report that was asked for after them and showed the same boot id. That tells the engine's life after the grant, not that the request met it. An entry node that stands still holds proved permits for up to 2 s, and all of them meet the next, cold life.

Evidence: node/tests/test_cold_stalls.py freezes entry nodes for 0.1 to 0.6 s while engines restart. Before: fails 3 of 3, 6, 3 and 5 in flight on an engine that bears 2.

Why this works: the proof asks the engine what it holds, which names the requests and the boot id, and isn't late as the load is. A permit that can be used no more counts as proved, so a dead entry node closes no engine for longer than that.

The model's tests pass (39 with scheduling).

--- a/lycheetide/node/_owner.py
+++ b/lycheetide/node/_owner.py
@@ -19,7 +19,7 @@
     PeerUnreached,
     RenewReply,
 )
-from lycheetide.scheduling import Cell, Ticket
+from lycheetide.scheduling import Cell, Policy, Ticket
 
 SLICE_S = 1.0
 """How long an owner holds one call of an entry node that waits."""
@@ -87,7 +87,9 @@
 def _take(node, name):
     """Begin to own a cell; earlier owners are asked for it first."""
     view = node.membership.view
-    owned = OwnedCell(Cell(name, owner_id=f"{node.own_id}@{view.number}"), view.number)
+    policy = Policy(permit_use_s=node.settings.permit_use_s)
+    cell = Cell(name, owner_id=f"{node.own_id}@{view.number}", policy=policy)
+    owned = OwnedCell(cell, view.number)
     owned.earlier = dict(node.membership.find_earlier_owners(name))
     node.cells[name] = owned
     node.relinquished.pop(name, None)
--- a/lycheetide/node/_watch.py
+++ b/lycheetide/node/_watch.py
@@ -1,5 +1,7 @@
 """The owner's watch over its replicas: load reports and memory nobody owns."""
 
+from dataclasses import replace
+
 import anyio
 
 from lycheetide.metrics import get_log
@@ -9,6 +11,7 @@
 from lycheetide.upstreams import (
     UpstreamError,
     fetch_holdings,
+    fetch_life,
     fetch_report,
     release_holding,
 )
@@ -47,6 +50,9 @@
             "A replica gave no report.", extra={"upstream": name, "cause": str(error)}
         )
         return
+    if replica.upstream.kind == "engine":
+        # What was granted before it may be unsent still; `prove_one` asks what was met.
+        report = replace(report, met=frozenset())
     before = owned.cell.replicas.get(name)
     owned.cell.take_report(name, report, asked_s=asked_s, now_s=read_clock())
     after = owned.cell.replicas.get(name)
@@ -66,6 +72,25 @@
     run_schedule(node, owned)
 
 
+async def prove_one(node, owned, name):
+    """Ask one replica which requests its present life has taken."""
+    replica = owned.cell.replicas.get(name)
+    if replica is None or replica.upstream.kind != "engine" or not replica.boot_id:
+        await poll_one(node, owned, name)
+        return
+    asked_s = read_clock()
+    try:
+        boot_id, holdings = await fetch_life(node.http, replica.upstream)
+    except UpstreamError:
+        # Whether it is silent is for its load report to tell.
+        return
+    request_ids = {holding.request_id for holding in holdings}
+    if not owned.cell.take_met(name, boot_id, request_ids, asked_s=asked_s):
+        await poll_one(node, owned, name)
+        return
+    run_schedule(node, owned)
+
+
 def _is_stale(node, owned, name):
     """Tell whether a replica's last report is too old to rest on."""
     replica = owned.cell.replicas.get(name)
@@ -85,7 +110,7 @@
                     last_s = owned.proof_asked_s.get(name, 0.0)
                     if now_s - last_s >= PROOF_SPACING_S:
                         owned.proof_asked_s[name] = now_s
-                        group.start_soon(poll_one, node, owned, name)
+                        group.start_soon(prove_one, node, owned, name)
 
 
 async def reclaim_memory(node):
--- a/lycheetide/scheduling/_cell.py
+++ b/lycheetide/scheduling/_cell.py
@@ -47,6 +47,7 @@
         self.permits = {}
         self.lost_permits = {}
         self.prefixes = {}
+        self.met: dict[str, set[str]] = {}
         self.is_settled = False
         self._numbers = itertools.count(1)
 
@@ -72,12 +73,14 @@
             )
         for name in set(self.replicas) - names:
             del self.replicas[name]
+            self.met.pop(name, None)
 
     def take_report(self, name, report, *, asked_s, now_s):
         """Take a load report that was asked for at ``asked_s``."""
         known = self.replicas.get(name)
         if known is None or asked_s < known.proved_s:
             return
+        self._note_met(known, report, asked_s)
         report = replace(report, at_s=asked_s)
         event = "reported_warm" if report.warm else "reported_cold"
         ramp = known.ramp_limit
@@ -101,6 +104,55 @@
             huge_until_s=asked_s + huge_s,
         )
 
+    def take_met(self, name, boot_id, request_ids, *, asked_s):
+        """Take in which requests an upstream's present life has taken.
+
+        Parameters
+        ----------
+        name : str
+            The replica.
+        boot_id : str
+            The life that tells.
+        request_ids : collection of str
+            What it works on or holds memory for.
+        asked_s : float
+            When it was asked.
+
+        Returns
+        -------
+        bool
+            False if it tells of a life that no report told of yet.
+        """
+        known = self.replicas.get(name)
+        if known is None or known.boot_id != boot_id:
+            return False
+        if asked_s >= known.proved_s:
+            report = Report(boot_id, warm=True, met=frozenset(request_ids))
+            self._note_met(known, report, asked_s)
+        return True
+
+    def _note_met(self, replica, report, asked_s):
+        """Note which permits' requests have met the life that a report tells of.
+
+        A permit that is too old to be used has been used before, or never will be.
+        """
+        name = replica.upstream.name
+        before = self.met.get(name, set()) if replica.boot_id == report.boot_id else ()
+        self.met[name] = {
+            permit.permit_id
+            for permit in self._sort_permits()[name]
+            if permit.permit_id in before
+            or asked_s - permit.granted_s > self.policy.permit_use_s
+            or self._has_met(permit, report, asked_s)
+        }
+
+    @staticmethod
+    def _has_met(permit, report, asked_s):
+        """Tell whether a report shows that a permit's request was taken."""
+        if report.met is None:
+            return permit.granted_s < asked_s
+        return permit.ticket.request_id in report.met
+
     def _correct_reading(self, replica, report, asked_s):
         """Return how long short and huge prompts will be read, from ``asked_s`` on.
 
@@ -268,7 +320,12 @@
         )
         return ReplicaLoad(
             name=name,
-            slots=count_open_slots(replica, permits, is_settled=self.is_settled),
+            slots=count_open_slots(
+                replica,
+                permits,
+                met=self.met.get(name, frozenset()),
+                is_settled=self.is_settled,
+            ),
             kv_free_tokens=capacity - used,
             kv_capacity_tokens=capacity,
             short_s=max(0.0, replica.busy_until_s - now_s),
@@ -440,7 +497,9 @@
         return [
             name
             for name, replica in self.replicas.items()
-            if needs_proof(replica, by_replica[name])
+            if needs_proof(
+                replica, by_replica[name], met=self.met.get(name, frozenset())
+            )
         ]
 
     def summarize(self, *, now_s):
--- a/lycheetide/scheduling/_types.py
+++ b/lycheetide/scheduling/_types.py
@@ -30,6 +30,8 @@
         After waiting so long, a spanning prompt has replicas kept for it.
     drain_short_tokens : int
         Requests up to this size still go to replicas that are kept so.
+    permit_use_s : float
+        How long after it was granted a permit may be used.
     """
 
     huge_tokens: int = 32_000
@@ -40,6 +42,7 @@
     crowd_s: float = 0.05
     drain_after_s: float = 2.0
     drain_short_tokens: int = 16_000
+    permit_use_s: float = 2.0
 
 
 @dataclass(frozen=True)
@@ -121,7 +124,22 @@
 
 @dataclass(frozen=True)
 class Report:
-    """What an upstream said of its load; it lags."""
+    """What an upstream said of its load; it lags.
+
+    Parameters
+    ----------
+    boot_id : str
+        The life of the process that answered.
+    warm : bool
+        Whether it bears its full load.
+    running, waiting_prefill_tokens, kv_used_tokens, kv_capacity_tokens : int
+        Its load.
+    at_s : float
+        When it was asked.
+    met : frozenset of str or None
+        Requests that this life has certainly taken; None for an upstream that doesn't
+        tell, of which all are taken for met that were granted before it was asked.
+    """
 
     boot_id: str
     warm: bool
@@ -130,6 +148,7 @@
     kv_used_tokens: int = 0
     kv_capacity_tokens: int = 0
     at_s: float = 0.0
+    met: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
@@ -147,8 +166,7 @@
     boot_id : str
         The life that the last report told of.
     proved_s : float
-        When the last report that told this life was asked for; grants after it are
-        not yet known to have met the same life.
+        When the last report that told this life was asked for.
     ramp_limit : int
         How many requests it may bear at present; doubles with each warm report.
     report : Report
--- a/lycheetide/upstreams/__init__.py
+++ b/lycheetide/upstreams/__init__.py
@@ -4,6 +4,7 @@
 from lycheetide.upstreams._engine import (
     EngineCall,
     fetch_holdings,
+    fetch_life,
     fetch_report,
     release_holding,
     reserve_memory,
@@ -32,6 +33,7 @@
     "UpstreamUnreached",
     "call_service",
     "fetch_holdings",
+    "fetch_life",
     "fetch_report",
     "make_http_client",
     "release_holding",
--- a/lycheetide/upstreams/_engine.py
+++ b/lycheetide/upstreams/_engine.py
@@ -105,8 +105,14 @@
 
 async def fetch_holdings(http, upstream):
     """Return all that an engine holds memory for."""
+    _, holdings = await fetch_life(http, upstream)
+    return holdings
+
+
+async def fetch_life(http, upstream):
+    """Return the life that an engine is in, and all that it holds memory for."""
     answer = await _get(http, f"{upstream.url}/held")
-    return msgspec.convert(answer["holdings"], list[HeldMemory])
+    return answer["boot_id"], msgspec.convert(answer["holdings"], list[HeldMemory])
 
 
 async def release_holding(http, upstream, holding_id):
