Let requests wait at a node that has just gone on

What callers saw: after a node was thawed, prompts with 10 s left were answered not_run, not_ready, "this node is cut_off", come back in 1 s.

Cause: what the node knows is too old when it goes on, so its life is stepped to cut_off. It hears the log and the others again within some tens of milliseconds, but what waits at its door is read first, and refused. A permit taken before the standstill was refused likewise, as not fresh.

Evidence: node/tests/test_thaw.py: a node is frozen for 3 s with six prompts at its door.

Why this works: the node knows that it stood still, by its own loop. Only then, and for 2 s and the deadline at most, a request waits until the others are heard; a node that is cut off without having stood still refuses at once, as before. A permit that comes up for use meanwhile counts as stale, so nothing is sent on old knowledge.

--- a/lycheetide/node/_door.py
+++ b/lycheetide/node/_door.py
@@ -13,9 +13,10 @@
 from lycheetide.node._booking_keys import issue_key, read_key
 from lycheetide.node._bookings import serve_booking
 from lycheetide.node._leaving import CallerLeft, remember_leaving, serve_while_present
+from lycheetide.node._life import wait_until_awake
 from lycheetide.node._prompts import Prompt, to_request_error
 from lycheetide.node._services import serve_lookup
-from lycheetide.node._state import draw_id, read_clock
+from lycheetide.node._state import REGAIN_S, draw_id, read_clock
 from lycheetide.outcomes import NotRun, Reason, RequestError
 from lycheetide.routing import (
     Admitted,
@@ -64,7 +65,7 @@
     return b"".join(parts)
 
 
-def admit(node, request, request_id):
+async def admit(node, request, request_id):
     """Check who asks, and for what class and deadline.
 
     Raises
@@ -73,6 +74,7 @@
         If the request can't be let in.
     """
     now_s = read_clock()
+    await wait_until_awake(node, until_s=now_s + find_wait_s(request.headers))
     if not node.is_life("accepting"):
         raise NotRun(Reason.NOT_READY, f"this node is {node.life}", retry_after_s=1.0)
     headers = request.headers
@@ -86,6 +88,12 @@
     return Admitted(request_id, customer, request_class, now_s, deadline_s)
 
 
+def find_wait_s(headers):
+    """Return how long a request may wait before anything is known of its class."""
+    told = headers.get("x-deadline-ms", "")
+    return int(told) / 1e3 if told.isdigit() else REGAIN_S
+
+
 def parse_prompt(body, fleet):
     """Read and check the body of a prompt.
 
@@ -230,7 +238,7 @@
         return await self._guard(request, self._issue)
 
     async def _issue(self, request, request_id):
-        admitted = admit(self.node, request, request_id)
+        admitted = await admit(self.node, request, request_id)
         key = issue_key(self.node, admitted.customer, now_s=read_clock())
         body = {"key": key.text, "mode": key.mode.name.lower()}
         return JSONResponse(body, headers={REQUEST_ID: request_id}), False
@@ -242,7 +250,7 @@
     async def _call(self, request, request_id):
         node = self.node
         try:
-            admitted = admit(node, request, request_id)
+            admitted = await admit(node, request, request_id)
         except NotRun as refusal:
             if not request.headers.get("idempotency-key"):
                 raise
@@ -280,7 +288,7 @@
 
     async def _complete(self, request, request_id):
         node = self.node
-        admitted = admit(node, request, request_id)
+        admitted = await admit(node, request, request_id)
         body = await read_body(request, node.settings.max_body_bytes)
         parsed = parse_prompt(body, node.fleet)
         prompt = Prompt(parsed.model, parsed.prompt, parsed.max_tokens)
--- a/lycheetide/node/_permits.py
+++ b/lycheetide/node/_permits.py
@@ -284,10 +284,13 @@
 def may_send(node, held, asked_s):
     """Look a last time whether a permit may be used."""
     now_s = read_clock()
+    fresh = node.is_fresh(now_s=now_s)
+    if not fresh and node.is_waking(now_s=now_s):
+        return False
     return check_dispatch(
         node.fleet,
         held.permit.replicas,
-        fresh=node.is_fresh(now_s=now_s),
+        fresh=fresh,
         permit_asked_s=asked_s,
         now_s=now_s,
         permit_use_s=node.settings.permit_use_s,
--- a/lycheetide/node/_run.py
+++ b/lycheetide/node/_run.py
@@ -12,6 +12,7 @@
 from lycheetide.node import _booking_peers, _owner
 from lycheetide.node._bookings import has_pending
 from lycheetide.node._door import Door
+from lycheetide.node._life import keep_life
 from lycheetide.node._members import give_rows, propose_views, pull_peers
 from lycheetide.node._operator import make_operator_app
 from lycheetide.node._owner import keep_cells, sync_cells
@@ -28,9 +29,8 @@
 )
 from lycheetide.node._watch import poll_reports, prove_replicas, reclaim_memory
 from lycheetide.peers import make_server
-from lycheetide.tasks import GuardedTasks, keep_running
+from lycheetide.tasks import GuardedTasks, keep_running, watch_standstill
 
-LIFE_TICK_S = 0.1
 STOP_TICK_S = 0.1
 HAND_OVER_PATIENCE_S = 10.0
 KEEP_ALIVE_S = 75.0
@@ -154,22 +154,6 @@
     await serve(app, config, shutdown_trigger=stopped.wait)
 
 
-async def keep_life(node):
-    """Step the node's life by what it can know, for ever.
-
-    A node that hears neither the log nor most of its peers can't know whether a
-    failure domain has been taken out; it tells the balancer that it is not ready,
-    while an outage of the log alone changes nothing.
-    """
-    while True:
-        now_s = read_clock()
-        knows = node.config.version > 0 and node.is_fresh(now_s=now_s)
-        if node.step("caught_up" if knows else "lost_contact"):
-            log.info("The node's state changed.", extra={"state": node.life})
-            node.counters.add(f"node.{node.life}")
-        await anyio.sleep(LIFE_TICK_S)
-
-
 LOOPS: tuple[Any, ...] = (
     follow_hosts,
     follow_booking_head,
@@ -180,6 +164,7 @@
     reclaim_memory,
     renew_permits,
     keep_life,
+    watch_standstill,
 )
 """The parts that run by themselves."""
 
--- a/lycheetide/node/_state.py
+++ b/lycheetide/node/_state.py
@@ -16,6 +16,7 @@
 from lycheetide.peers import PeerClient
 from lycheetide.platformlog import GroupWriter, LogClient
 from lycheetide.routing import is_fresh
+from lycheetide.tasks import Standstill
 from lycheetide.upstreams import make_http_client
 
 CONFIG_STREAM = "config"
@@ -23,6 +24,8 @@
 BOOKING_STREAM = "bookings"
 VERDICTS_KEPT = 1_000
 LONG_AGO_S = -1e9
+REGAIN_S = 2.0
+"""A node that stood still hears the others again within this time: some heartbeats."""
 
 CHART = load_chart("node")
 
@@ -124,6 +127,7 @@
         self.explanations = Explanations()
         self.budgets = CustomerBudgets()
         self.active = {}
+        self.standstill = Standstill()
         self.tasks = None
         self._index = None
 
@@ -167,6 +171,16 @@
             within_s=self.settings.lease_s,
         )
 
+    def is_waking(self, *, now_s):
+        """Tell whether what this node knows is old only since it stood still itself.
+
+        It hears the log or its peers again within a moment, and what waits for that can
+        still be served.
+        """
+        if self.is_fresh(now_s=now_s):
+            return False
+        return self.standstill.is_just_over(now_s=now_s, within_s=REGAIN_S)
+
     def note(self, request_id, what, **fields):
         """Keep a step of a request for ``lycheetide explain``."""
         self.explanations.note(request_id, what, now_s=read_clock(), **fields)
--- a/lycheetide/node/tests/test_bookings.py
+++ b/lycheetide/node/tests/test_bookings.py
@@ -262,3 +262,25 @@
     assert refused.outcome == "unknown"
     assert book(second, key).outcome == "answered"
     assert count_runs(fleet, key) == 1
+
+
+def test_a_node_that_is_not_ready_does_not_say_of_a_key_that_it_has_not_run(own_fleet):
+    """A deposit ran, and its caller asks again at a node that has just started.
+
+    The log and the list of hosts are out, so that node knows nothing, and refuses.
+    """
+    fleet = own_fleet
+    first = next(iter(fleet.nodes.values()))
+    key = get_key(first)
+    assert book(first, key).outcome == "answered"
+    started = fleet.start_node("late", "cork-a")
+    fleet.platform.freeze()
+    try:
+        fleet.wait_url(f"{started.url}/healthz")
+        refused = book(started, key)
+    finally:
+        fleet.platform.thaw()
+    assert (refused.outcome, refused.reason) == ("unknown", "not_ready")
+    fleet.wait_for(lambda: fleet.status("late")["state"] == "serving", what="a start")
+    assert book(started, key).outcome == "answered"
+    assert count_runs(fleet, key) == 1
--- a/lycheetide/node/tests/test_streams.py
+++ b/lycheetide/node/tests/test_streams.py
@@ -238,4 +238,5 @@
     assert all(node.is_running() for node in fleet.nodes.values())
     later = ask_many(fleet, 6, deadline_s=15.0)
     print([(answer.outcome, answer.body) for answer in later])
+    print("frozen was", owner, *fleet.read_turns(), sep="\n")
     assert {answer.outcome for answer in later} == {"answered"}
--- a/lycheetide/node/tests/test_successors.py
+++ b/lycheetide/node/tests/test_successors.py
@@ -40,6 +40,7 @@
         counters=Counters(None),
         note=lambda *_, **__: None,
         is_fresh=lambda *, now_s: True,
+        is_waking=lambda *, now_s: False,
         settings=SimpleNamespace(permit_use_s=2.0),
     )
 
--- /dev/null
+++ b/lycheetide/node/tests/test_thaw.py
@@ -0,0 +1,37 @@
+"""A node that stood still serves its callers as soon as it hears the others again."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from standins.callers import ask_prompt
+from standins.promises import find_broken
+
+FROZEN_S = 3.0
+"""Longer than what a node knows holds, so it can't know the configuration after it."""
+
+
+@pytest.mark.parametrize("place", range(3))
+def test_prompts_that_wait_at_a_frozen_node_are_served_when_it_goes_on(
+    own_fleet, place
+):
+    """A node's process stands still, and callers' prompts wait at its door.
+
+    What it knows is too old when it goes on. It hears the others within a moment, and
+    prompts that have ten seconds left were refused.
+    """
+    fleet = own_fleet
+    node = list(fleet.nodes.values())[place]
+    node.freeze()
+    with ThreadPoolExecutor(6) as pool:
+        jobs = [
+            pool.submit(ask_prompt, node, 1_000, seed=i, deadline_s=10.0)
+            for i in range(6)
+        ]
+        time.sleep(FROZEN_S)
+        node.thaw()
+        answers = [job.result() for job in jobs]
+    print(*fleet.read_turns(), sep="\n")
+    assert {(one.outcome, one.reason) for one in answers} == {("answered", "")}
+    assert find_broken(fleet, answers, deadline_s=10.0) == []
--- a/standins/local.py
+++ b/standins/local.py
@@ -277,6 +277,15 @@
         """Return what a node says of itself, or None."""
         return self.try_get(f"{self.nodes[name].operator_url}/status")
 
+    def read_turns(self, *, most=12):
+        """Yield each node's last log lines on its state and its standing still."""
+        for name in self.nodes:
+            lines = (self.folder / f"{name}.log").read_text().splitlines()
+            turns = [
+                line for line in lines if "state changed" in line or "stood" in line
+            ]
+            yield from turns[-most:]
+
     def wait_ready(self, *, timeout_s=START_S, may_have_ended=False):
         """Wait until all nodes are ready, in one view, and all replicas are seen."""
 
