--- a/lycheetide/relay/tests/test_knowledge.py
+++ b/lycheetide/relay/tests/test_knowledge.py
@@ -421,10 +421,13 @@
     async with Relayed(replicas=3) as fleet:
         for replica in fleet.replicas:
             replica.kv_tokens = 10
-        answer = await fleet.stream(tokens="210000,300")
+        fleet.replicas[0].kv_tokens = 100_000
+        answer = await fleet.stream(tokens="150000,300")
         await fleet.wait_for(
             lambda: not any(replica.tickets for replica in fleet.replicas)
         )
+    orders = [order for replica in fleet.replicas for order in replica.orders]
+    assert {order["operation"] for order in orders} == {"reserve", "release"}
     assert answer.status_code == 503
     assert fleet.runs() == []
 
