End a new node's waiting for the store once a peer knows

What callers saw: after all nodes had been killed in an outage of the store, one of them refused all callers for 1.3 s longer than the others.

Cause: a node that reads for nobody else doubles its pause after each failed read, up to 1.0 s for the configuration and 3.2 s for the replicas. It looked for a peer that knows more at each read only, not while it paused; a read at a silent store takes 1 s first.

Why this works: a node that knows nothing of a topic looks for a peer that does while it reads and while it pauses, and ends both when there is one. A node that knows something waits as before, so the store gets no more calls.

--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -66,10 +66,10 @@
     Some nodes wait for them at the store; the others take over what those know.
     """
     store = relay.make_store("operator")
-    await begin_at_peers(relay, "operator")
+    await begin(relay, store, "operator")
     while True:
         offset = relay.operator.offset
-        if offset < 0 or waits_for_operators(relay, now_s=read_clock()):
+        if waits_for_operators(relay, now_s=read_clock()):
             # A wait that the store has forgotten can't be told from one in vain, so it
             # is asked to wait only once it answers.
             has_failed = relay.operator.failures > 0
@@ -102,15 +102,14 @@
 async def follow_registry(relay):
     """Follow the list of replicas, for ever."""
     store = relay.make_store("registry")
-    await begin_at_peers(relay, "registry")
+    await begin(relay, store, "registry")
+    if relay.registry.is_reachable:
+        await anyio.sleep(relay.settings.registry_interval_s)
     while True:
         now_s = read_clock()
         reads = must_read(relay, now_s=now_s)
         if reads:
             await read_once(relay, store, "registry", wait_s=0.0)
-        if relay.registry.failures and relay.registry.offset < 0:
-            # A failed read has paused already, and without replicas nobody is served.
-            continue
         pause_s = relay.settings.registry_interval_s
         await anyio.sleep(pause_s if reads else pause_s / 2)
 
@@ -367,16 +366,39 @@
     await read_whole(relay, "registry", address)
 
 
-async def begin_at_peers(relay, name):
-    """Take over what peers know of one topic, where there are any.
+async def begin(relay, store, name):
+    """Learn one topic for the first time, from whoever knows it first.
 
-    A fleet whose nodes are replaced one after the other would list all topics at the
-    store for each of them.
+    Peers are asked before the store: a fleet whose nodes are replaced one after the
+    other would list all topics there for each of them. In an outage the store may
+    answer another node long before this one asks again, and without a configuration
+    and replicas this one refuses all its callers.
     """
+    source = getattr(relay, name)
     with anyio.move_on_after(START_ASK_S):
-        while find_knowing(relay, name) is None:
-            await anyio.sleep(START_LOOK_S)
+        await wait_for_knowing(relay, name)
     await read_from_peer(relay, name, insists=False)
+    while source.offset < 0:
+        async with anyio.create_task_group() as group:
+            group.start_soon(_read_and_end, relay, store, name, group.cancel_scope)
+            # A peer that knows, and was just asked in vain, is given a moment.
+            await anyio.sleep(START_ASK_S)
+            await wait_for_knowing(relay, name)
+            group.cancel_scope.cancel()
+        if source.offset < 0:
+            await read_from_peer(relay, name)
+
+
+async def _read_and_end(relay, store, name, scope):
+    """Read from the store, with the pause after a failure, and end a scope."""
+    await read_once(relay, store, name, wait_s=0.0)
+    scope.cancel()
+
+
+async def wait_for_knowing(relay, name):
+    """Wait until a peer knows more of one topic than this node."""
+    while find_knowing(relay, name) is None:
+        await anyio.sleep(START_LOOK_S)
 
 
 async def read_from_peer(relay, name, *, insists=True):
