--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,6 +34,7 @@
             print(f"  {line}")
         if result.broken:
             print(f"  faults: {', '.join(result.faults)}\n  logs: {result.folder}")
+            print(f"  own standstills (end, length in s): {result.stalls}")
     print(f"{args.seeds} runs, {failed} with broken promises")
     raise SystemExit(1 if failed else 0)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from lycheetide.tasks import TICK_S, Standstill
 from soak.callers import CALLERS, KINDS, PATIENT_KINDS, call_for_ever
 from soak.deployment import PATIENT_MS, STOP_NOTICE_S, STOP_S, Deployment
 from soak.faults import Faults
@@ -38,6 +39,9 @@
         What was played.
     folder : str
         Where the nodes' logs are.
+    stalls : list of (float, float)
+        When this process, which plays callers, replicas and proxies, stood still, from
+        the start of the run, and for how long; what it saw then, it saw late.
     """
 
     seed: int
@@ -46,6 +50,7 @@
     served: int
     faults: list
     folder: str
+    stalls: list
 
 
 async def play(seed, *, seconds=FAULTS_S, count=FAULTS, nodes=4, quiets=0):
@@ -71,9 +76,11 @@
         plan.sort(key=lambda fault: fault.at_s)
         kinds, stop_s = PATIENT_KINDS, STOP_NOTICE_S + PATIENT_MS / 1e3 + 0.5
     attempts: list = []
+    stalls: list = []
     async with Deployment(nodes=nodes, stop_s=stop_s) as deployment:
         faults = Faults(deployment)
         async with anyio.create_task_group() as callers:
+            callers.start_soon(_note_stalls, stalls)
             for name in range(CALLERS):
                 luck = random.Random(f"{seed}/{name}")
                 callers.start_soon(
@@ -92,7 +99,19 @@
         served = sum(attempt.is_success for attempt in attempts)
         shown = [f"{one.at_s:.1f} {one.kind} {one.target % 64}" for one in plan]
         folder = str(deployment.folder)
-    return Result(seed, broken, len(attempts), served, shown, folder)
+    return Result(seed, broken, len(attempts), served, shown, folder, stalls)
+
+
+async def _note_stalls(stalls):
+    """Note when this process stands still, until it is cancelled."""
+    begun_s = time.monotonic()
+    standstill = Standstill()
+    while True:
+        now_s = time.monotonic()
+        stood_s = standstill.tick(now_s=now_s)
+        if stood_s:
+            stalls.append((round(now_s - begun_s, 1), round(stood_s, 2)))
+        await anyio.sleep(TICK_S)
 
 
 async def _carry_out(faults, plan):
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -20,8 +20,9 @@
 
 async def check(seed, **options):
     result = await play(seed, **options)
-    assert result.broken == [], (result.faults, result.folder)
-    assert result.served > result.attempts / 3
+    seen = (result.faults, result.folder, result.stalls)
+    assert result.broken == [], seen
+    assert result.served > result.attempts / 3, seen
 
 
 def test_a_short_run_keeps_all_promises():
