Let callers wait for the first news at a node that has just started

Cause: a node that has just started and knows no configuration refuses at once, though the configuration is on its way.

Evidence: test_first_news, a store that takes 0.3 s for one topic. Before: lookups and prompts are refused, for the configuration and for the replicas (2 of 2 cases). After: served. Where a read has failed callers are refused at once, as before (test).

Why this works: a request waits for the first news for 0.5 s at most, the time that it would be told to stay away, and within its own deadline.

--- a/lycheetide/relay/_ingress.py
+++ b/lycheetide/relay/_ingress.py
@@ -5,7 +5,7 @@
 
 from lycheetide.relay._outcomes import CallerLeft, Cause, Refusal, StreamCut
 from lycheetide.relay._reply import Reply
-from lycheetide.relay._serve import make_call, serve_call
+from lycheetide.relay._serve import make_call, serve_call, wait_for_first_news
 from lycheetide.relay._state import read_clock
 
 
@@ -54,6 +54,7 @@
     try:
         body = await read_body(relay, watch.receive)
         group.start_soon(watch.run, group.cancel_scope)
+        await wait_for_first_news(relay, request)
         await serve_call(relay, make_call(relay, request, body), reply)
         return None
     except Refusal as refusal:
--- a/lycheetide/relay/_serve.py
+++ b/lycheetide/relay/_serve.py
@@ -11,10 +11,25 @@
 from lycheetide.relay._stream import serve_stream
 from lycheetide.routes import Kind, NoCustomer, NoRoute
 
+FIRST_NEWS_LOOK_S = 0.01
 ANSWER_MARGIN_S = 0.03
 """Kept back for the final answer's own way to the caller."""
 
 
+async def wait_for_first_news(relay, request):
+    """Wait a moment for configuration and replicas at a node that has just started.
+
+    No longer than its caller would be told to stay away; then it would be refused, and
+    come back after the node is ready.
+    """
+    left_s = COME_BACK_S
+    if request.time_left_s is not None:
+        left_s = min(left_s, request.time_left_s - ANSWER_MARGIN_S)
+    until_s = request.received_s + left_s
+    while relay.awaits_first_news() and read_clock() < until_s:
+        await anyio.sleep(FIRST_NEWS_LOOK_S)
+
+
 def make_call(relay, request, body):
     """Return the call that a request is, or refuse it.
 
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -157,6 +157,15 @@
         """Whether the store served this node when it last asked."""
         return not (self.registry.failures or self.operator.failures)
 
+    def awaits_first_news(self):
+        """Tell whether this node has just started, and what it has to know is coming.
+
+        A read that has failed shows that it may not come soon.
+        """
+        sources = (self.operator, self.registry)
+        is_known = all(source.offset >= 0 for source in sources)
+        return not is_known and not any(source.failures for source in sources)
+
     def lags_behind(self, *, now_s):
         """Tell whether a peer knows more of what operators wrote than this node."""
         return any(
--- a/lycheetide/relay/tests/test_first_news.py
+++ b/lycheetide/relay/tests/test_first_news.py
@@ -1,10 +1,12 @@
 """A node that starts in an outage of the store serves as soon as a peer knows."""
 
 import time
+from types import SimpleNamespace
 
 import anyio
 import pytest
 
+from lycheetide import platform
 from standins.relayed import Relayed
 
 pytestmark = pytest.mark.anyio
@@ -42,3 +44,45 @@
             lambda: late.is_ready(now_s=time.monotonic()), timeout_s=4.0
         )
     assert took_s < HEARD_S
+
+
+def make_slow_adapter(*, topic, after_s):
+    """Return an adapter whose store takes a while to give one topic."""
+
+    class SlowClient(platform.StoreClient):
+        async def read(self, *args, **kwargs):
+            if args[0] == topic:
+                await anyio.sleep(after_s)
+            return await super().read(*args, **kwargs)
+
+    return SimpleNamespace(**vars(platform) | {"StoreClient": SlowClient})
+
+
+@pytest.mark.parametrize("topic", [platform.OPERATOR, platform.REGISTRY])
+async def test_a_caller_that_comes_before_the_first_news_waits_for_it(topic):
+    """All nodes start anew, and a large configuration takes a while over small links.
+
+    Callers were told to come back later than the node was ready.
+    """
+    async with Relayed(relays=0) as fleet:
+        adapter = make_slow_adapter(topic=topic, after_s=0.3)
+        relay = await fleet.start_relay(wait=False, adapter=adapter)
+        await fleet.wait_for_listener(relay.settings.caller_address)
+        assert not relay.is_ready(now_s=time.monotonic())
+        answers = [await fleet.look(), await fleet.stream()]
+    assert [answer.status_code for answer in answers] == [200, 200]
+
+
+async def test_a_caller_is_refused_at_once_where_the_news_do_not_come():
+    """The store refuses a node that has just started, and it has no peer."""
+    async with Relayed(relays=0) as fleet:
+        fleet.store.down = "busy"
+        relay = await fleet.start_relay(wait=False)
+        await fleet.wait_for_listener(relay.settings.caller_address)
+        await fleet.wait_for(lambda: relay.operator.failures)
+        begun_s = time.monotonic()
+        answer = await fleet.look()
+        took_s = time.monotonic() - begun_s
+    assert answer.status_code == 503
+    assert answer.headers["retry-after"]
+    assert took_s < 0.1
