Split following the store from taking in and from peers' state

relay/_follow.py held three jobs in 500 lines: the loops that read, what a read changes, and what peers give one another. They stand in _follow, _take and _peer_state now; the sockets of datagrams in _datagrams, out of _gossip (488 lines, 417 now). Functions moved as they were; the tests' imports and patches name the new modules, their checks are unchanged.

--- a/lycheetide/relay/_gossip.py
+++ b/lycheetide/relay/_gossip.py
@@ -1,6 +1,5 @@
 """Tell the other nodes what this one does, and hear from them."""
 
-import socket
 from dataclasses import dataclass
 
 import anyio
@@ -21,7 +20,8 @@
     make_job,
 )
 from lycheetide.exchange import StoreUnavailable
-from lycheetide.relay._follow import fetch_registry, note_return, take_changes
+from lycheetide.relay._datagrams import find_kind, make_sender, receive_all
+from lycheetide.relay._peer_state import fetch_registry
 from lycheetide.relay._sharing import (
     compare,
     find_hubs,
@@ -31,6 +31,7 @@
 )
 from lycheetide.relay._spreading import Spreader, is_large
 from lycheetide.relay._state import read_clock
+from lycheetide.relay._take import note_return, take_changes
 
 HELLO_S = 0.3
 """Pause between greetings in a small fleet, and of nodes that read for others."""
@@ -65,25 +66,9 @@
 """Replicas named in one greeting, so that it fits one datagram."""
 PEERS_MOST = 40
 """Addresses in one reply; three datagrams tell a fleet of a hundred."""
-DATAGRAMS_MOST = 64
-"""Datagrams taken in one turn, some 4 ms of work."""
-LARGEST_DATAGRAM_BYTES = 65_535
 EXPIRE_S = 0.5
 HEAD_BYTES = 28
 """What the network adds to each datagram."""
-KINDS = {
-    b"s": "work",
-    b"e": "work",
-    b"b": "work",
-    b"w": "work",
-    b"x": "suspicions",
-    b"d": "suspicions",
-    b"c": "changes",
-    b"h": "greetings",
-}
-"""What a message is about, by its tag."""
-LONG_ARRAY = 0xDC
-"""First byte of a message of more than 15 fields; its length takes two more."""
 DISCOVER_RETRY_S = 2.0
 
 
@@ -403,61 +388,6 @@
             self._new_peers = 0
 
 
-def find_kind(data):
-    """Return what a datagram is about.
-
-    Examples
-    --------
-    >>> find_kind(encode_message(Ended("n", "1")))
-    'work'
-    >>> find_kind(encode_message(Hello("", "", "", "", 0, 0, 0.0)))
-    'greetings'
-    """
-    begins = 4 if data[0] == LONG_ARRAY else 2
-    return KINDS.get(data[begins : begins + 1], "other")
-
-
-def make_listener(address):
-    """Return the socket that takes peers' datagrams.
-
-    Parameters
-    ----------
-    address : str
-        "ip:port".
-    """
-    host, _, port = address.rpartition(":")
-    listener = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    listener.bind((host, int(port)))
-    listener.setblocking(False)
-    return listener
-
-
-def receive_all(listener):
-    """Yield the datagrams that are there, at most so many that others get their turn.
-
-    An error, such as a report that an earlier datagram reached nobody, ends the round.
-    """
-    for _ in range(DATAGRAMS_MOST):
-        try:
-            yield listener.recv(LARGEST_DATAGRAM_BYTES)
-        except OSError:
-            return
-
-
-def make_sender(address):
-    """Return a socket that sends datagrams at once or not at all.
-
-    Parameters
-    ----------
-    address : str
-        "ip:port" of this node; the socket gets another port there.
-    """
-    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sender.bind((address.rpartition(":")[0], 0))
-    sender.setblocking(False)
-    return sender
-
-
 async def discover(relay):
     """Write this node's address into the store, and read the others'."""
     store = relay.make_store("nodes")
--- a/lycheetide/relay/tests/test_sharing.py
+++ b/lycheetide/relay/tests/test_sharing.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lycheetide.board import Changed
-from lycheetide.relay import _follow
+from lycheetide.relay import _follow, _peer_state
 from lycheetide.relay._sharing import is_hub, must_read, waits_for_operators
 from standins.relayed import Relayed, make_config
 
@@ -188,7 +188,7 @@
 
 async def test_a_large_configuration_is_read_from_the_store(monkeypatch):
     """A hub gives 38 peers a configuration of 500 kB, over a link of 10 Mbit/s."""
-    monkeypatch.setattr(_follow, "LINK_MBPS", 0.01)
+    monkeypatch.setattr(_peer_state, "LINK_MBPS", 0.01)
     async with Relayed(relays=5) as fleet:
         await start_fleet(fleet)
         await end_first_waits(fleet)
@@ -209,7 +209,7 @@
 
 async def test_a_node_that_the_store_turns_away_gets_a_large_configuration(monkeypatch):
     """The store serves some nodes only; the others have to hear of taken keys too."""
-    monkeypatch.setattr(_follow, "LINK_MBPS", 0.01)
+    monkeypatch.setattr(_peer_state, "LINK_MBPS", 0.01)
     async with Relayed(relays=5) as fleet:
         await start_fleet(fleet)
         await end_first_waits(fleet)
--- a/lycheetide/relay/tests/test_start.py
+++ b/lycheetide/relay/tests/test_start.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lycheetide.exchange import Batch, Record
-from lycheetide.relay._follow import (
+from lycheetide.relay._take import (
     SETTLED_S,
     STARTING_S,
     is_starting,
