Take only decimal digits for a request's time limit at the door

A time limit of a superscript two counts as a digit but is no number: reading how long a request may wait for the others to be heard raised ValueError, an error inside the node instead of a refusal with what was expected.

--- a/lycheetide/node/_door.py
+++ b/lycheetide/node/_door.py
@@ -89,9 +89,17 @@
 
 
 def find_wait_s(headers):
-    """Return how long a request may wait before anything is known of its class."""
+    """Return how long a request may wait before anything is known of its class.
+
+    Examples
+    --------
+    >>> find_wait_s({"x-deadline-ms": "500"}), find_wait_s({"x-deadline-ms": "soon"})
+    (0.5, 2.0)
+    >>> find_wait_s({"x-deadline-ms": chr(0xB2)})
+    2.0
+    """
     told = headers.get("x-deadline-ms", "")
-    return int(told) / 1e3 if told.isdigit() else REGAIN_S
+    return int(told) / 1e3 if told.isdecimal() else REGAIN_S
 
 
 def parse_prompt(body, fleet):
