Look for test ports where no other test does, and give up at last

Cause: the test takes ten of twenty ports from 31,000 on, in the range that all test processes are given ports of; each keeps 300 claims. Both workers began at ports that follow from their process ids, 29,687 and 29,978, and held those twenty by then; the search never ends. So the verdict depended on process ids.

--- a/lycheetide/node/tests/test_ports.py
+++ b/lycheetide/node/tests/test_ports.py
@@ -9,7 +9,7 @@
 TAKE_FIVE = """
 import itertools, sys
 from standins import local
-local.PORTS = itertools.cycle(range(31_000, 31_020))
+local.PORTS = itertools.cycle(range(32_100, 32_120))
 print(*[local.find_port() for _ in range(5)], flush=True)
 sys.stdin.read()
 """
@@ -21,7 +21,7 @@
     Each found the same port free, since neither's node had bound it yet on a busy
     machine, and the second node ended with "Address already in use".
     """
-    monkeypatch.setattr(local, "PORTS", itertools.cycle(range(31_000, 31_020)))
+    monkeypatch.setattr(local, "PORTS", itertools.cycle(range(32_100, 32_120)))
     with subprocess.Popen(
         [sys.executable, "-c", TAKE_FIVE],
         stdin=subprocess.PIPE, stdout=subprocess.PIPE, cwd=local.ROOT, text=True,
--- a/standins/local.py
+++ b/standins/local.py
@@ -33,6 +33,7 @@
 for _ in range(os.getpid() * 97 % 20_000):
     next(PORTS)
 
+PORTS_TRIED = 20_000
 CLAIMS_KEPT = 300
 """Ports that are claimed for the processes of one test; more than any needs."""
 claims: deque[socket.socket] = deque()
@@ -47,7 +48,7 @@
     that it is meant for takes seconds to bind it. A claim under the port's name keeps
     it for this process until many others have been given out.
     """
-    for port in PORTS:
+    for port in itertools.islice(PORTS, PORTS_TRIED):
         claim = claim_port(port)
         if claim is None:
             continue
@@ -61,7 +62,7 @@
         if len(claims) > CLAIMS_KEPT:
             claims.popleft().close()
         return port
-    raise AssertionError("unreachable")
+    raise OSError(f"no port was free of {PORTS_TRIED} that were tried")
 
 
 def claim_port(port):
