Know the pace of each replica, and give the slow ones no part of a prompt

On a slow replica, parts read newest first leave the oldest waiting for ever: one prompt of 354,000 tokens had no event from two attempts in 15 s.

Change: the hub of each failure domain asks its replicas for their reports once a second (at most 40 a second) and tells all nodes at once what turned slow or stopped being slow, in its heartbeats. A pace that isn't repeated is forgotten after 3.5 s. Placement multiplies passes and parts by it, packs no short prompts on a replica 1.5 times slower than the fastest, and counts the parts of slow replicas for longer.

Ways: no knowledge (as before); reports asked for by hubs (kept). Paces learnt from the gaps between events weren't built: short prompts are packed on few replicas, so most readers of a huge prompt write nothing that shows a pace.

--- a/lycheetide/exchange/_types.py
+++ b/lycheetide/exchange/_types.py
@@ -106,3 +106,17 @@
     load: ReportedLoad | None
     cold_s: float
     headers: tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True)
+class ReplicaReport:
+    """What a replica reports of itself.
+
+    Parameters
+    ----------
+    pace : float
+        Factor by which its work takes longer than its engine's profile states, at
+        least 1.
+    """
+
+    pace: float
--- a/lycheetide/gossip/__init__.py
+++ b/lycheetide/gossip/__init__.py
@@ -26,6 +26,7 @@
     decode_message,
     encode_message,
 )
+from lycheetide.gossip._paces import PaceTable
 from lycheetide.gossip._peers import Peer, PeerTable, order_node
 from lycheetide.gossip._workload import UnreadPart
 
@@ -43,6 +44,7 @@
     "MemoryQueue",
     "MemoryWanted",
     "Message",
+    "PaceTable",
     "Peer",
     "PeerTable",
     "RegistryUpdate",
--- a/lycheetide/gossip/_messages.py
+++ b/lycheetide/gossip/_messages.py
@@ -14,7 +14,7 @@
     replica : str
         Id of the replica.
     read_s : float
-        Duration of its prefill, at full speed.
+        Duration of its prefill, at the pace that the replica last reported.
     kv_tokens : int
         Size of the KV cache that the job takes there, in tokens.
     writes : bool
@@ -145,6 +145,9 @@
         Bandwidth of its network link, in Mbit/s; 0 if unknown.
     is_store_reachable : bool
         Whether its last request to the store succeeded.
+    paces : tuple of (str, float)
+        Replicas that reported their pace to the sender within the last seconds and are
+        slow, or have just stopped being slow, each with its pace. Only hubs fill it in.
 
     Notes
     -----
@@ -169,6 +172,7 @@
     jobs: tuple[str, ...] | None = None
     link_mbps: int = 0
     is_store_reachable: bool = True
+    paces: tuple[tuple[str, float], ...] = ()
 
 
 class RegistryUpdate(msgspec.Struct, frozen=True, array_like=True, tag="c"):
--- a/lycheetide/gossip/_workload.py
+++ b/lycheetide/gossip/_workload.py
@@ -11,7 +11,7 @@
     Parameters
     ----------
     read_by_s : float
-        Expected end of its prefill, at full speed.
+        Expected end of its prefill.
     due_s : float
         Target time of the first event of its request.
     weight : float
@@ -34,7 +34,7 @@
     Parameters
     ----------
     busy_until_s : float
-        Expected end of all prefill that was sent there, at full speed.
+        Expected end of all prefill that was sent there.
     writers : int
         Number of requests that write their answers there, now or later.
     helping : int
--- a/lycheetide/placement/_pack.py
+++ b/lycheetide/placement/_pack.py
@@ -24,6 +24,9 @@
 SLOTS_PER_UNKNOWN_REQUEST = 4.0
 """Free slots to choose from at random for each request that may be in flight. Among
 four slots, few requests choose the same one."""
+MAX_PACKING_PACE = 1.5
+"""Largest pace of a replica that short prompts are packed onto, relative to the fastest
+one. At a slower one, an answer takes so long that its pauses are noticed."""
 BURST_NODE_SHARE = 0.02
 """Fraction of the nodes that may have sent a request that the measured rate doesn't
 include yet, for example when all callers reconnect at once."""
@@ -83,7 +86,12 @@
         If no short prompt may be packed onto any replica, the one with the earliest
         expected first event.
     """
-    available = [replica for replica in candidates if _has_room(replica)]
+    max_pace = MAX_PACKING_PACE * min(replica.pace for replica in candidates)
+    available = [
+        replica
+        for replica in candidates
+        if _has_room(replica) and replica.pace <= max_pace
+    ]
     if available:
         available.sort(key=lambda replica: replica.rank)
         first = _draw_replica(available, SLOTS_PER_UNKNOWN_REQUEST * unknown, draw)
--- a/lycheetide/placement/_spread.py
+++ b/lycheetide/placement/_spread.py
@@ -195,8 +195,8 @@
 
 def _assess_replica(engine, candidate):
     """Return a replica with its wait and pause before a part is assigned to it."""
-    pause_s = estimate_pass_s(engine, candidate.writers, candidate.kv_tokens)
-    pause_s += candidate.backlog_s
+    pass_s = estimate_pass_s(engine, candidate.writers, candidate.kv_tokens)
+    pause_s = candidate.pace * pass_s + candidate.backlog_s
     return _OpenReplica(
         candidate,
         wait_s(engine, candidate),
@@ -216,15 +216,23 @@
     if chosen is None:
         return None
     first, others, holders = chosen
+    slot_wait_s = estimate_slot_wait_s(engine, first.candidate, prompt.size)
     prefill_start_s = max(
-        estimate_slot_wait_s(engine, first.candidate, prompt.size),
+        slot_wait_s,
         first.open.wait_s,
         *(reader.open.wait_s for reader in others),
     )
-    own_pass_s = estimate_pass_s(
+    prefill_end_s = max(
+        slot_wait_s + first.candidate.pace * part_s,
+        *(
+            reader.open.wait_s + reader.candidate.pace * part_s
+            for reader in (first, *others)
+        ),
+    )
+    own_pass_s = first.candidate.pace * estimate_pass_s(
         engine, first.candidate.writers + 1, prompt.size.tokens
     )
-    expected_s = prefill_start_s + part_s + own_pass_s
+    expected_s = prefill_end_s + own_pass_s
     harm = LATENESS_LOSS * (
         first.harm
         + sum(reader.harm for reader in others)
@@ -258,16 +266,17 @@
     readers = []
     for replica in replicas:
         candidate = replica.candidate
+        own_part_s = candidate.pace * part_s
         harm = 0.0
         if candidate.decoding_groups:
-            required_gap_s = (replica.pause_s + part_s) / USABLE_GAP_SHARE
+            required_gap_s = (replica.pause_s + own_part_s) / USABLE_GAP_SHARE
             harm = candidate.disturbed_weight(required_gap_s) - replica.harmed_weight
         if candidate.pending_prefills:
-            harm += candidate.overtaken_weight(part_s)
-        own_cost = own_costs.get(replica.wait_s)
+            harm += candidate.overtaken_weight(own_part_s)
+        read_by_s = replica.wait_s + own_part_s
+        own_cost = own_costs.get(read_by_s)
         if own_cost is None:
-            own_cost = prompt.own_cost(replica.wait_s + part_s)
-            own_costs[replica.wait_s] = own_cost
+            own_cost = own_costs[read_by_s] = prompt.own_cost(read_by_s)
         readers.append(_Reader(replica, harm, LATENESS_LOSS * harm + own_cost))
     readers.sort(key=lambda reader: (reader.cost, -reader.candidate.rank))
     return readers
--- a/lycheetide/placement/_types.py
+++ b/lycheetide/placement/_types.py
@@ -114,6 +114,8 @@
         Whether it was silent and hasn't answered since.
     is_cold : bool
         Whether it has just started, or has become cold again.
+    pace : float
+        Factor by which its work takes longer than its engine's profile states.
     """
 
     id: str
@@ -129,6 +131,7 @@
     is_near: bool = True
     is_recovering: bool = False
     is_cold: bool = False
+    pace: float = 1.0
 
     @property
     def penalty_s(self):
@@ -184,7 +187,7 @@
     expected_s : float
         Estimated time until the first event, in seconds.
     part_prefill_s : float
-        Prefill time of each part, in seconds.
+        Prefill time of each part at a replica that isn't slow, in seconds.
     holders : tuple of MemoryShare
         Replicas that prefill one part each and also hold a share of its KV cache.
     prefill_wait_s : float
--- a/lycheetide/placement/_waits.py
+++ b/lycheetide/placement/_waits.py
@@ -17,9 +17,8 @@
 
 def wait_s(engine, candidate):
     """Return the expected time until the prefill of a prompt sent now, in seconds."""
-    remaining_pass_s = (
-        estimate_pass_s(engine, candidate.writers, candidate.kv_tokens) / 2
-    )
+    pass_s = estimate_pass_s(engine, candidate.writers, candidate.kv_tokens)
+    remaining_pass_s = candidate.pace * pass_s / 2
     return remaining_pass_s + candidate.backlog_s + candidate.penalty_s
 
 
@@ -36,7 +35,7 @@
         estimate_pass_s(engine, candidate.slots, candidate.kv_tokens)
         + FULL_PASS_PREFILL_S
     )
-    return queued * passes * full_s / candidate.slots
+    return queued * passes * candidate.pace * full_s / candidate.slots
 
 
 def estimate_unsplit_s(engine, candidate, size):
@@ -45,13 +44,15 @@
     The replica prefills the whole prompt. The time is in seconds.
     """
     return (
-        estimate_first_event_s(
+        candidate.pace
+        * estimate_first_event_s(
             engine,
             own_prefill_s=estimate_prefill_s(engine, size.prompt_tokens),
-            backlog_s=candidate.backlog_s,
+            backlog_s=0.0,
             writers=min(candidate.writers, candidate.slots),
             context_tokens=candidate.kv_tokens,
         )
+        + candidate.backlog_s
         + estimate_slot_wait_s(engine, candidate, size)
         + candidate.penalty_s
     )
--- a/lycheetide/platform/__init__.py
+++ b/lycheetide/platform/__init__.py
@@ -7,6 +7,7 @@
 from lycheetide.platform._config import decode_operator_records
 from lycheetide.platform._orders import encode_release, encode_reserve
 from lycheetide.platform._registry import decode_registry_records
+from lycheetide.platform._reports import decode_report, encode_report_request
 from lycheetide.platform._requests import (
     READY_PATH,
     decode_answer,
@@ -31,10 +32,12 @@
     "decode_answer",
     "decode_operator_records",
     "decode_registry_records",
+    "decode_report",
     "decode_request",
     "encode_attempt",
     "encode_node_response_headers",
     "encode_release",
+    "encode_report_request",
     "encode_reserve",
     "filter_response_headers",
 ]
--- /dev/null
+++ b/lycheetide/platform/_reports.py
@@ -0,0 +1,54 @@
+"""Encode requests for a replica's report on itself, and decode the report."""
+
+import msgspec
+
+from lycheetide.exchange import ReplicaReport
+from lycheetide.httpclient import OutgoingRequest
+from lycheetide.platform._requests import EXPECTED_REPLICA
+
+REPORT_PATH = b"/-/report"
+
+
+class _Report(msgspec.Struct):
+    """The fields of a report that are used."""
+
+    pace: float = 1.0
+
+
+_decoder = msgspec.json.Decoder(_Report)
+
+
+def encode_report_request(replica):
+    """Return the request for the report of a replica.
+
+    Parameters
+    ----------
+    replica : RegistryEntry
+        The replica; another one at its address rejects the request.
+    """
+    headers = (
+        (b"Host", replica.address.encode()),
+        (EXPECTED_REPLICA, replica.id.encode()),
+    )
+    return OutgoingRequest(b"GET", REPORT_PATH, headers)
+
+
+def decode_report(body):
+    """Decode the body of a report.
+
+    Parameters
+    ----------
+    body : bytes
+        The body.
+
+    Returns
+    -------
+    ReplicaReport
+        The decoded report.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If the body is malformed.
+    """
+    return ReplicaReport(pace=max(1.0, _decoder.decode(body).pace))
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -34,15 +34,14 @@
 
 def make_parts(call, placement):
     """Return the cost of a request at each replica that takes part in it."""
-    read_s = placement.part_prefill_s
     held_tokens = sum(share.tokens for share in placement.holders)
-    parts = [JobPart(placement.first.id, read_s, call.size.tokens - held_tokens, True)]
-    parts += [
-        JobPart(share.replica.id, read_s, share.tokens, False)
-        for share in placement.holders
-    ]
-    parts += [JobPart(helper.id, read_s, 0, False) for helper in placement.helpers]
-    return tuple(parts)
+    shares = [(placement.first, call.size.tokens - held_tokens, True)]
+    shares += [(share.replica, share.tokens, False) for share in placement.holders]
+    shares += [(helper, 0, False) for helper in placement.helpers]
+    return tuple(
+        JobPart(reader.id, reader.pace * placement.part_prefill_s, kv_tokens, writes)
+        for reader, kv_tokens, writes in shares
+    )
 
 
 @asynccontextmanager
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -109,6 +109,7 @@
         self._sender = make_sender(relay.settings.peer_address)
         self.broadcaster = Broadcaster(relay, self.send)
         self._heartbeat_due = anyio.Event()
+        self._is_due_to_all = False
         self._new_peer_count = 0
 
     def send(self, data, address):
@@ -124,8 +125,15 @@
         except OSError:
             self.relay.counters.add("peers.unsent_datagram")
 
-    def trigger_heartbeat(self):
-        """Send the next heartbeat at once, since this node's state has changed."""
+    def trigger_heartbeat(self, *, to_all=False):
+        """Send the next heartbeat at once, since this node's state has changed.
+
+        Parameters
+        ----------
+        to_all : bool, default=False
+            Whether to send it to all nodes instead of those whose turn it is.
+        """
+        self._is_due_to_all = self._is_due_to_all or to_all
         self._heartbeat_due.set()
 
     async def greet(self, _):
@@ -135,7 +143,8 @@
             now_s = read_clock()
             addresses = self.relay.peers.targets(now_s=now_s)
             intervals = self._choose_intervals(len(addresses), now_s=now_s)
-            if now_s - all_greeted_s >= intervals.all_s:
+            if self._is_due_to_all or now_s - all_greeted_s >= intervals.all_s:
+                self._is_due_to_all = False
                 all_greeted_s = hubs_greeted_s = now_s
             elif now_s - hubs_greeted_s >= intervals.hubs_s or self.relay.is_leaving:
                 hubs_greeted_s = now_s
@@ -249,6 +258,7 @@
             jobs=jobs if len(jobs) <= MAX_REQUESTS_LISTED else None,
             link_mbps=round(relay.settings.link_mbps),
             is_store_reachable=relay.is_store_reachable,
+            paces=relay.reported_paces,
         )
 
     def close(self):
@@ -340,6 +350,8 @@
                 relay.counters.add("peers.lost_ends", lost)
         for replica in heartbeat.heard:
             relay.failure_detector.note_peer_report(replica, now_s=now_s)
+        for replica, pace in heartbeat.paces:
+            relay.paces.note(replica, pace, now_s=now_s)
         for address in heartbeat.peers:
             relay.peers.add_address(address, now_s=now_s)
         record_outage_end(relay, heartbeat.returned_age_s, now_s=now_s)
@@ -397,6 +409,7 @@
             dead = self.relay.peers.list_dead(now_s=now_s)
             self.relay.job_table.expire(now_s=now_s, dead=dead)
             self.relay.drop_gone_replicas(now_s=now_s)
+            self.relay.paces.drop_outdated(now_s=now_s)
             self.relay.message_delays.drop_absent(living)
             self._log_new_peers(len(living))
             self.relay.used.log(self.relay, now_s=now_s)
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -13,6 +13,7 @@
 from lycheetide.relay._follow import follow_operator, follow_registry
 from lycheetide.relay._ingress import make_caller_app, make_readiness_app
 from lycheetide.relay._messaging import PeerMessenger, discover
+from lycheetide.relay._paces import follow_paces
 from lycheetide.relay._peer_state import make_peer_app
 from lycheetide.relay._reload import reload_settings, watch_settings
 from lycheetide.relay._state import RelayState, read_clock
@@ -97,6 +98,7 @@
         for part in (
             follow_operator,
             follow_registry,
+            follow_paces,
             messenger.listen,
             messenger.greet,
             messenger.broadcaster.pass_on,
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -3,6 +3,7 @@
 import random
 import time
 from collections import Counter, defaultdict, deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import takewhile
 
@@ -14,6 +15,7 @@
     FailureDetector,
     JobTable,
     MemoryQueue,
+    PaceTable,
     PeerTable,
     order_node,
 )
@@ -39,8 +41,8 @@
     return time.monotonic()
 
 
-def _do_nothing():
-    """Do nothing; the default of callbacks until the node receives datagrams."""
+def _do_nothing(**_):
+    """Do nothing; the default of callbacks until the node runs."""
 
 
 @dataclass
@@ -107,6 +109,8 @@
         self.failure_detector = FailureDetector()
         self.message_delays = DelayEstimator()
         self.memory_queue = MemoryQueue()
+        self.paces = PaceTable()
+        self.reported_paces: tuple[tuple[str, float], ...] = ()
         self.peers = PeerTable(settings.peer_address, fleet=settings.store_address)
         self.pool = ChannelPool()
         self.stall_detector = StallDetector()
@@ -119,8 +123,8 @@
         self.broadcast_work = None
         self.broadcast_change = None
         self.broadcast_to_domain = None
-        self.trigger_heartbeat = None
-        self.receive_datagrams = _do_nothing
+        self.trigger_heartbeat: Callable[..., None] = _do_nothing
+        self.receive_datagrams: Callable[..., None] = _do_nothing
         self.operator_read_scope = None
         self.operator_update = anyio.Event()
         self.digest_differs_since_s = None
@@ -315,7 +319,9 @@
         workload = self.job_table.workload(entry.id)
         is_recovering = self.failure_detector.is_recovering(entry.id, now_s=now_s)
         is_cold = replica.is_cold(now_s=now_s)
-        if workload.is_idle(now_s=now_s) and not (is_recovering or is_cold):
+        pace = self.paces.pace(entry.id, now_s=now_s)
+        is_ordinary = pace == 1.0 and not (is_recovering or is_cold)
+        if is_ordinary and workload.is_idle(now_s=now_s):
             return self._make_idle_candidate(entry, rank)
         return Candidate(
             id=entry.id,
@@ -336,6 +342,7 @@
             is_near=entry.failure_domain == self.settings.failure_domain,
             is_recovering=is_recovering,
             is_cold=is_cold,
+            pace=pace,
         )
 
     def _make_idle_candidate(self, entry, rank):
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -293,7 +293,8 @@
                 await _forward_event(
                     relay, call, reply, progress, stream_attempt, event
                 )
-            event_timeout_s = SILENCE_MARGIN_S + estimate_pass_s(engine, 1)
+            pace = relay.paces.pace(stream_attempt.replica, now_s=stream_attempt.at_s)
+            event_timeout_s = SILENCE_MARGIN_S + pace * estimate_pass_s(engine, 1)
     if splitter.rest.strip():
         raise AttemptFailed(
             Cause.BROKEN, "the stream ended within an event", may_have_run=True
--- a/lycheetide/simulation/_pass_engine.py
+++ b/lycheetide/simulation/_pass_engine.py
@@ -67,10 +67,13 @@
         Its performance figures.
     slots : int
         Number of requests that it processes at once.
+    pace : float
+        Factor by which its passes take longer than its performance figures state.
     """
 
     engine: EngineProfile
     slots: int
+    pace: float = 1.0
     waiting: list[PrefillTask] = field(default_factory=list)
     prefilling: list[PrefillTask] = field(default_factory=list)
     helper_parts: list[PrefillTask] = field(default_factory=list)
@@ -103,7 +106,7 @@
             prefill_s += part_s
         context = sum(writer.context_tokens for writer in self._decoding)
         duration_s = estimate_pass_s(self.engine, len(self._decoding), context)
-        self.pass_ends_s = now_s + duration_s + prefill_s
+        self.pass_ends_s = now_s + self.pace * (duration_s + prefill_s)
 
     def _admit(self):
         """Admit waiting prompts while slots are free."""
--- a/lycheetide/simulation/_relay_simulation.py
+++ b/lycheetide/simulation/_relay_simulation.py
@@ -103,6 +103,12 @@
         Factor on the rates of random arrivals.
     nodes : int
         Number of nodes that place requests.
+    slow_replicas : int
+        Number of replicas that work slower than the engine's figures state.
+    slow_pace : float
+        Factor by which their work takes longer.
+    knows_paces : bool
+        Whether the nodes know which replicas are slow.
     """
 
     engine: EngineProfile
@@ -111,6 +117,9 @@
     gossip_delay_s: float = 0.003
     load: float = 1.0
     nodes: int = 9
+    slow_replicas: int = 0
+    slow_pace: float = 1.0
+    knows_paces: bool = True
 
 
 @dataclass
@@ -181,8 +190,13 @@
         self.job_table = JobTable()
         names = [f"r{number}" for number in range(model.replicas)]
         self.ranks = rank_replicas(names)
+        slow_names = names[: model.slow_replicas]
+        self.paces = {
+            name: model.slow_pace if name in slow_names else 1.0 for name in names
+        }
         self.engines = {
-            name: PassEngine(model.engine, model.engine.slots) for name in names
+            name: PassEngine(model.engine, model.engine.slots, self.paces[name])
+            for name in names
         }
         self.events: list = []
         self.order = itertools.count()
@@ -234,7 +248,7 @@
         parts = tuple(
             JobPart(
                 reader.id,
-                part_s,
+                reader.pace * part_s,
                 kv_tokens_by_replica.get(reader.id, 0),
                 reader is placement.first,
             )
@@ -333,6 +347,7 @@
                     for prompt in self.job_table.unread(name, now_s=now_s)
                 ),
                 kv_tokens=workload.kv_tokens,
+                pace=self.paces[name] if self.model.knows_paces else 1.0,
             )
             for name, rank in self.ranks.items()
             for workload in (self.job_table.workload(name),)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -39,7 +39,8 @@
     Attributes
     ----------
     received : list of Request
-        All requests that were received, except reservation orders.
+        All requests that were received, except reservation orders and requests for its
+        report.
     received_times : list of float
         When these requests were received.
     runs : list of str
@@ -67,6 +68,8 @@
         Step of the requests after those of ``next_steps``; empty for a normal response.
     long_pause_s : float
         Length of the pause of the steps "late" and "pause".
+    pace : float
+        Factor by which it reports its work to take longer than stated.
     refused_helper : str
         Address of a replica; requests that use it as a helper are refused, and the
         refusal names it.
@@ -87,6 +90,7 @@
         self.default_step = ""
         self.refused_helper = ""
         self.long_pause_s = 0.0
+        self.pace = 1.0
         self.adds_attempt_ids = False
         self.resets_reused_connections = False
         self._used_connections = set()
@@ -109,6 +113,8 @@
         """Handle one request."""
         if request.target == "/-/order":
             return self._take_order(json.loads(request.body))
+        if request.target == "/-/report":
+            return self._report(request)
         if self.resets_reused_connections and stream in self._used_connections:
             raise ConnectionReset
         self._used_connections.add(stream)
@@ -129,6 +135,12 @@
         self.runs.append(attempt)
         return await self._run(request, stream, step, attempt)
 
+    def _report(self, request):
+        """Answer a request for a report."""
+        if request.headers["lycheetide-expect-instance"] != self.name:
+            return Response(421, b"", {"Lycheetide-Instance-Id": "another"})
+        return Response(200, json.dumps({"pace": self.pace}).encode())
+
     async def _run(self, request, stream, step, attempt):
         """Run a request according to its step."""
         if step == "reset":
