Let nodes that restart in a silence of the store ask at different times

All nodes were killed while the store answered no reads of the registry. They started at one moment, waited the same 1.0 s and paused the same 0.4 s, so for 1.1 s after the store was back none of 67 nodes asked it. 170 requests were refused no_replica, most callers twice.

Change: a first read that isn't answered is repeated on another connection after a random 0.3 to 1.0 s, pauses after failed reads are drawn around their mean, and a node that has loaded its first replicas says so at once.

Ways: one read with a fixed timeout (as before); a shorter timeout, which would give up on a store that is slow, 0.3 s an answer; the repeated read (kept), which does without.

--- a/lycheetide/relay/_apply_records.py
+++ b/lycheetide/relay/_apply_records.py
@@ -59,6 +59,8 @@
             relay, applied, is_first=is_first, is_read=complete_until_s is None
         )
         drop_removed_records(source)
+        if is_first:
+            relay.trigger_heartbeat(to_all=is_hub(relay, now_s=now_s))
         if applied and complete_until_s is None and not is_first:
             broadcast_changes(relay, applied, now_s=now_s)
     source.offset = max(source.offset, batch.end)
--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -30,6 +30,11 @@
 START_PEER_WAIT_S = 0.06
 """How long a starting node waits for a peer that has newer records; seed nodes answer
 within some 5 ms. If all nodes start at once, no node has any, and clients wait."""
+MIN_HEDGE_S = 0.3
+"""Shortest time after which a starting node repeats a read that isn't answered. The
+time is drawn at random up to ``STORE_TIMEOUT_S``: of many nodes that start together in
+an outage, some then ask soon after the store is back, and the others get the state from
+these."""
 POLL_S = 0.25
 """Interval at which a node checks whether it must wait for operator records itself."""
 MIN_OUTAGE_S = 1.5
@@ -108,7 +113,8 @@
         record_read_failure(relay, name, source, error)
         await read_from_peer(relay, name)
         reads_for_others = is_hub(relay, now_s=read_clock())
-        await anyio.sleep(get_retry_delay_s(name, source.failures, reads_for_others))
+        delay_s = get_retry_delay_s(name, source.failures, reads_for_others)
+        await anyio.sleep(relay.random.uniform(0.5, 1.5) * delay_s)
         return
     now_s = read_clock()
     if wait_s == 0:
@@ -127,7 +133,7 @@
 
 
 def get_retry_delay_s(name, failures, reads_for_others):
-    """Return the pause after a number of consecutive failed calls, in seconds.
+    """Return the mean pause after a number of consecutive failed calls, in seconds.
 
     Examples
     --------
@@ -180,6 +186,7 @@
     while source.offset < 0:
         async with anyio.create_task_group() as group:
             group.start_soon(_read_and_cancel, relay, store, name, group.cancel_scope)
+            group.start_soon(_hedge_first_read, relay, name, group.cancel_scope)
             # A peer that has the topic but has just failed to send it gets a short
             # pause.
             await anyio.sleep(START_PEER_WAIT_S)
@@ -193,3 +200,16 @@
     """Read from the store, including the pause after a failure, and cancel a scope."""
     await read_once(relay, store, name, wait_s=0.0)
     scope.cancel()
+
+
+async def _hedge_first_read(relay, name, scope):
+    """Read one topic on another connection if the first read isn't answered soon."""
+    await anyio.sleep(relay.random.uniform(MIN_HEDGE_S, STORE_TIMEOUT_S))
+    if getattr(relay, name).failures:
+        return
+    store = relay.make_store_client(name)
+    try:
+        await _read_and_cancel(relay, store, name, scope)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await store.aclose()
