Bound the retried reads of the registry for the whole fleet

Change: nodes that don't read for others retry less often the more nodes there are, at most ten times a second together after the first tries. Hubs still ask each 0.4 s and tell the others.

--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -24,6 +24,11 @@
 others tell them when the store is back and what it contains, so retrying more often
 only adds to the load that the store has to refuse. A configuration must be in force
 within 2 s and may be too large for a peer's slow link, so it is retried sooner."""
+MAX_FLEET_RETRIES_PER_S = 10.0
+"""Number of retried reads of the registry per second, of all nodes that don't read for
+others together. The first that succeeds tells the others."""
+FIRST_RETRY_S_PER_NODE = 0.04
+"""First pause after a failed read of the registry, per node of the fleet."""
 CONFIG_DEBOUNCE_S = 0.3
 """Pause after a configuration was read, before waiting for the next one. If many come
 in quick succession, only the last one matters, and it must be in force within 2 s."""
@@ -113,7 +118,8 @@
         record_read_failure(relay, name, source, error)
         await read_from_peer(relay, name)
         reads_for_others = is_hub(relay, now_s=read_clock())
-        delay_s = get_retry_delay_s(name, source.failures, reads_for_others)
+        nodes = len(relay.list_alive_nodes(now_s=read_clock()))
+        delay_s = get_retry_delay_s(name, source.failures, reads_for_others, nodes)
         await anyio.sleep(relay.random.uniform(0.5, 1.5) * delay_s)
         return
     now_s = read_clock()
@@ -132,19 +138,29 @@
     apply_batch(relay, name, batch, now_s=now_s)
 
 
-def get_retry_delay_s(name, failures, reads_for_others):
+def get_retry_delay_s(name, failures, reads_for_others, nodes):
     """Return the mean pause after a number of consecutive failed calls, in seconds.
 
+    All nodes of a large fleet together read the registry at most
+    ``MAX_FLEET_RETRIES_PER_S`` times per second, besides the nodes that read for
+    others.
+
     Examples
     --------
-    >>> [get_retry_delay_s("registry", failures, False) for failures in (1, 2, 3, 9)]
+    >>> [get_retry_delay_s("registry", failures, False, 9) for failures in (1, 2, 3, 9)]
     [0.4, 0.8, 1.6, 3.2]
-    >>> get_retry_delay_s("operator", 9, False), get_retry_delay_s("operator", 9, True)
-    (1.0, 0.4)
+    >>> [get_retry_delay_s("registry", failures, False, 60) for failures in (1, 2, 9)]
+    [2.4, 4.8, 6.0]
+    >>> [get_retry_delay_s("operator", 9, reads, 60) for reads in (False, True)]
+    [1.0, 0.4]
     """
     if reads_for_others:
         return RETRY_BASE_S
-    return min(MAX_RETRY_S[name], RETRY_BASE_S * 2 ** (failures - 1))
+    if name == "operator":
+        return min(MAX_RETRY_S[name], RETRY_BASE_S * 2 ** (failures - 1))
+    base_s = max(RETRY_BASE_S, nodes * FIRST_RETRY_S_PER_NODE)
+    max_s = max(MAX_RETRY_S[name], nodes / MAX_FLEET_RETRIES_PER_S)
+    return min(max_s, base_s * 2 ** (failures - 1))
 
 
 def was_full_outage(relay, source, *, now_s):
--- a/lycheetide/relay/tests/test_store_silence.py
+++ b/lycheetide/relay/tests/test_store_silence.py
@@ -13,7 +13,12 @@
 
 from lycheetide import platform
 from lycheetide.exchange import RecordBatch, StoreUnavailable
-from lycheetide.relay._follow import load_first_state
+from lycheetide.relay._follow import (
+    MAX_FLEET_RETRIES_PER_S,
+    RETRY_BASE_S,
+    get_retry_delay_s,
+    load_first_state,
+)
 from lycheetide.relay._state import RelayState
 from lycheetide.settings import RelaySettings
 
@@ -86,3 +91,26 @@
     refused again when they returned.
     """
     assert await measure_first_read_s() < MAX_UNNOTICED_S
+
+
+def count_retries_per_s(nodes, *, outage_s):
+    """Return how often all nodes together retry per second during an outage."""
+    retries, at_s = 0, 0.0
+    while (at_s := at_s + get_retry_delay_s("registry", retries + 1, False, nodes)) < (
+        outage_s
+    ):
+        retries += 1
+    return nodes * retries / outage_s
+
+
+@pytest.mark.parametrize("nodes", [24, 67, 195, 300])
+def test_retries_in_an_outage_do_not_grow_with_the_fleet(nodes):
+    """Guards against calls to the store that grow with the fleet, and their charge."""
+    assert count_retries_per_s(nodes, outage_s=60.0) < 1.5 * MAX_FLEET_RETRIES_PER_S
+
+
+@pytest.mark.parametrize("nodes", [24, 67, 195, 300])
+def test_nodes_that_read_for_others_retry_at_once_in_any_fleet(nodes):
+    """Guards against a store whose return is noticed after changes are due."""
+    for name in ("operator", "registry"):
+        assert get_retry_delay_s(name, 9, True, nodes) == RETRY_BASE_S
