--- a/lycheetide/placement/_types.py
+++ b/lycheetide/placement/_types.py
@@ -220,8 +220,7 @@
     def is_worthwhile(self, patience_s):
         """Return whether the placement gains its caller more than it costs others.
 
-        A caller that would disconnect while its request waits gains nothing, and
-        neither does one whose answer can't be complete before its deadline. A long
+        A caller that would disconnect while its request waits gains nothing. A long
         prompt for which only busy replicas are left would make requests late that
         weigh more than itself. It is better to try again shortly after, when there
         may be capacity, or to let its caller retry.
@@ -231,5 +230,4 @@
         patience_s : float
             Time for which the caller waits for the first event, in seconds.
         """
-        has_worth = self.worth > 0.0 and self.harm <= self.worth
-        return has_worth and not self.waits_too_long(patience_s)
+        return not self.waits_too_long(patience_s) and self.harm <= self.worth
--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -1,7 +1,5 @@
 """Choose the replica for a call, within the cold limits."""
 
-import math
-
 import anyio
 
 from lycheetide.gossip import START_WINDOW_S
@@ -9,7 +7,6 @@
     MAX_HELPERS,
     Arrivals,
     caller_patience_s,
-    estimate_pass_s,
     estimate_unknown_requests,
     may_send,
     place_plain_request,
@@ -136,7 +133,7 @@
         candidates,
         target_s=call.route.target_latency_s,
         left_s=find_first_event_due_s(call) - now_s,
-        patience_s=estimate_useful_wait_s(call, engine, now_s=now_s),
+        patience_s=find_patience_s(call),
         arrivals=estimate_arrivals(relay, call, candidates, now_s=now_s),
         max_helpers=0 if call.helpers_refused else MAX_HELPERS,
         unknown=estimate_unknown_requests(
@@ -174,17 +171,6 @@
     return caller_patience_s(call.route.target_latency_s, call.route.target_gap_s)
 
 
-def estimate_useful_wait_s(call, engine, *, now_s):
-    """Return how long the first event of a call may take to be of use, in seconds.
-
-    The caller must still wait for it, and the rest of the answer must be written before
-    the deadline.
-    """
-    passes = math.ceil(call.size.answer_tokens / engine.steps_per_pass)
-    writing_s = passes * estimate_pass_s(engine, 1)
-    return min(find_patience_s(call), call.remaining_s(now_s=now_s) - writing_s)
-
-
 async def choose_placement(relay, call, *, wait_s):
     """Return a placement for a call, waiting for one if necessary.
 
