Keep a hub's idle connections when it asks replicas for reports

Cause: found by reading. A report goes over an idle connection of the pool, which was closed afterwards if the pool kept another one to the same replica, so that hubs opened more connections for requests than other nodes.

Change: the limit of idle connections is that of requests.

--- a/lycheetide/relay/_paces.py
+++ b/lycheetide/relay/_paces.py
@@ -9,7 +9,7 @@
 import anyio
 import msgspec
 
-from lycheetide.httpclient import ChannelConnectError, ChannelError
+from lycheetide.httpclient import ChannelConnectError, ChannelError, compute_idle_limit
 from lycheetide.relay._roles import find_hubs
 from lycheetide.relay._state import read_clock
 
@@ -98,6 +98,8 @@
     the requests themselves.
     """
     outgoing = relay.adapter.encode_report_request(entry)
+    service = relay.route_table.services[entry.service]
+    nodes = len(relay.list_alive_nodes(now_s=read_clock()))
     async with limiter:
         relay.used.add("reports")
         try:
@@ -106,6 +108,7 @@
                 outgoing,
                 timeout_s=REPORT_TIMEOUT_S,
                 read_clock=read_clock,
+                max_idle=compute_idle_limit(service.max_connections, nodes),
             )
             if head.status == 200:
                 paces[entry.id] = relay.adapter.decode_report(body).pace
--- a/lycheetide/relay/tests/test_paces.py
+++ b/lycheetide/relay/tests/test_paces.py
@@ -48,7 +48,9 @@
     """Return a relay that is the hub of its failure domain, and its replicas."""
     relay = make_large_relay(nodes, replicas)
     relay.route_table = SimpleNamespace(
-        services={SERVICE: SimpleNamespace(name=SERVICE, engine=ENGINE)},
+        services={
+            SERVICE: SimpleNamespace(name=SERVICE, engine=ENGINE, max_connections=200)
+        },
         find_shortest_target_s=lambda _: 0.4,
     )
     relay.heartbeats = []
