--- a/lycheetide/relay/_paces.py
+++ b/lycheetide/relay/_paces.py
@@ -25,9 +25,14 @@
 
 
 async def follow_paces(relay):
-    """Ask for the paces of the replicas that this node reports on, forever."""
+    """Ask for the paces of the replicas that this node reports on, forever.
+
+    While no requests arrive, nothing is asked, because every report is charged for.
+    """
     while True:
-        replicas = list_assigned_replicas(relay, now_s=read_clock())
+        now_s = read_clock()
+        is_idle = relay.job_table.starts_per_s(now_s=now_s) == 0
+        replicas = [] if is_idle else list_assigned_replicas(relay, now_s=now_s)
         if replicas or relay.reported_paces:
             await ask_for_paces(relay, replicas)
         await anyio.sleep(max(REPORT_INTERVAL_S, len(replicas) / MAX_REPORTS_PER_S))
--- a/lycheetide/relay/tests/test_paces.py
+++ b/lycheetide/relay/tests/test_paces.py
@@ -7,15 +7,20 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+import anyio
 import msgspec
 import pytest
 
-from lycheetide.gossip import PaceTable
+from lycheetide.gossip import JobPart, PaceTable, Started, make_job
 from lycheetide.gossip._paces import PACE_TTL_S
 from lycheetide.httpclient import ChannelError
 from lycheetide.placement import Candidate, Placement, RequestSize, place_prompt
 from lycheetide.relay._attempt import make_parts
-from lycheetide.relay._paces import ask_for_paces, list_assigned_replicas
+from lycheetide.relay._paces import (
+    ask_for_paces,
+    follow_paces,
+    list_assigned_replicas,
+)
 from lycheetide.relay._roles import is_hub
 from lycheetide.replicas import RegistryChange
 from standins.large import ENGINE, SERVICE, make_large_relay
@@ -123,6 +128,20 @@
     assert asked == {entry.id for entry in entries} - left_out
 
 
+@pytest.mark.parametrize("is_idle", [True, False])
+async def test_replicas_are_asked_while_requests_arrive(is_idle):
+    """Guards against a charge for reports while nobody sends requests."""
+    relay, entries = make_hub()
+    relay.pool = FakePool({})
+    if not is_idle:
+        started = Started("front-1", "1", (JobPart(entries[0].id, 0.1),), 1_000)
+        now_s = time.monotonic()
+        relay.job_table.start(make_job(started, now_s=now_s), now_s=now_s)
+    with anyio.move_on_after(0.05):
+        await follow_paces(relay)
+    assert bool(relay.pool.asked) is not is_idle
+
+
 def test_a_pace_that_is_not_repeated_is_forgotten():
     """Guards against replicas avoided for good after their hub has died."""
     paces = PaceTable()
