Bound the pace that a report may state

Cause: found by reading the change. A report may state any number; 1e308 would overflow in the heartbeat's hundredths and end the task that sends heartbeats.

Change: paces count as 100 at most. Tests of malformed reports.

--- a/lycheetide/gossip/_paces.py
+++ b/lycheetide/gossip/_paces.py
@@ -12,6 +12,8 @@
 SLOW_PACE = 1.25
 """Pace from which on a replica is reported as slow. Smaller differences lie within the
 margins of the estimates."""
+MAX_PACE = 100.0
+"""Largest pace that is used; a malformed report may state any number."""
 
 
 @dataclass(frozen=True)
@@ -44,6 +46,7 @@
         bool
             Whether it has become slow, or stopped being slow.
         """
+        pace = min(pace, MAX_PACE)
         was_slow = self.pace(replica, now_s=now_s) > 1.0
         if pace >= SLOW_PACE:
             self._reports[replica] = PaceReport(pace, now_s)
--- a/lycheetide/relay/tests/test_paces.py
+++ b/lycheetide/relay/tests/test_paces.py
@@ -21,7 +21,7 @@
     make_job,
 )
 from lycheetide.gossip._messages import MAX_DATAGRAM_BYTES
-from lycheetide.gossip._paces import PACE_TTL_S
+from lycheetide.gossip._paces import MAX_PACE, PACE_TTL_S
 from lycheetide.httpclient import ChannelError
 from lycheetide.placement import Candidate, Placement, RequestSize, place_prompt
 from lycheetide.relay import _messaging
@@ -200,6 +200,13 @@
     assert not paces.note("r", 1.0, now_s=PACE_TTL_S + 0.2)
 
 
+def test_a_replica_that_reports_an_absurd_pace_is_only_slow():
+    """Guards against a report that ends the task that sends heartbeats."""
+    paces = PaceTable()
+    paces.note("r", 1e308, now_s=0.0)
+    assert paces.pace("r", now_s=0.0) == MAX_PACE
+
+
 def make_candidates(slow):
     return [
         Candidate(f"r{rank}", f"10.0.0.{rank}:80", rank, 6, pace=pace)
