Log and count the limits that replicas name

Cause: the record of LIMIT shows what replicas got, but neither logs nor metrics tell which node was told which limit, so a limit that isn't read can't be told from one that each node keeps alone. Change: the limit is decoded from the head of an answer. A node logs and counts when a replica begins to name one or stops. No request is chosen, sent or held back by it yet.

--- a/lycheetide/exchange/_types.py
+++ b/lycheetide/exchange/_types.py
@@ -92,6 +92,9 @@
         The load that the replica reported.
     cold_s : float
         Remaining time for which the replica reports to be cold.
+    limit_per_s : float or None
+        Requests per second that the replica takes from all nodes together; infinity if
+        it names no limit, None if what it names can't be read.
     headers : tuple of (bytes, bytes)
         All headers.
     """
@@ -105,6 +108,7 @@
     at_fault: str
     load: ReportedLoad | None
     cold_s: float
+    limit_per_s: float | None
     headers: tuple[tuple[bytes, bytes], ...]
 
 
--- a/lycheetide/gossip/__init__.py
+++ b/lycheetide/gossip/__init__.py
@@ -26,11 +26,13 @@
     decode_message,
     encode_message,
 )
+from lycheetide.gossip._named_limits import NO_LIMIT, Life, LimitTable
 from lycheetide.gossip._paces import PaceTable
 from lycheetide.gossip._peers import Peer, PeerTable, order_node
 from lycheetide.gossip._workload import UnreadPart
 
 __all__ = [
+    "NO_LIMIT",
     "START_WINDOW_S",
     "Bundle",
     "DelayEstimator",
@@ -41,6 +43,8 @@
     "Job",
     "JobPart",
     "JobTable",
+    "Life",
+    "LimitTable",
     "MemoryQueue",
     "MemoryWanted",
     "Message",
--- a/lycheetide/platform/_requests.py
+++ b/lycheetide/platform/_requests.py
@@ -1,5 +1,7 @@
 """Decode callers' requests and replicas' responses; encode requests to replicas."""
 
+import re
+
 from lycheetide.exchange import CallerRequest, ReplicaResponse, ReportedLoad
 from lycheetide.httpclient import OutgoingRequest
 
@@ -20,6 +22,9 @@
 LOAD = b"lycheetide-server-load"
 AT_FAULT = b"at-server"
 COLD_MS = b"lycheetide-cold-ms"
+LIMIT = b"server-limit"
+
+_DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -69,6 +74,27 @@
         return default
 
 
+def _parse_limit(headers):
+    """Return the limit that a replica names, in requests per second.
+
+    Returns
+    -------
+    float or None
+        Infinity if there is no header; the lowest if there are several; None if a value
+        isn't a decimal number. A number too large for a float is infinity.
+
+    Examples
+    --------
+    >>> _parse_limit([(b"server-limit", b"1.5")])
+    1.5
+    >>> _parse_limit([(b"server-limit", b"nan")])
+    """
+    values = [value.strip() for key, value in headers if key == LIMIT]
+    if not all(_DECIMAL_NUMBER.fullmatch(value) for value in values):
+        return None
+    return min(map(float, values), default=float("inf"))
+
+
 def _parse_token_counts(text):
     """Return the number of prompt tokens and the maximum number of answer tokens.
 
@@ -211,6 +237,7 @@
         at_fault=_find_header(headers, AT_FAULT).decode("latin-1"),
         load=_decode_load(_find_header(headers, LOAD)),
         cold_s=_parse_number(_find_header(headers, COLD_MS)) / 1e3,
+        limit_per_s=_parse_limit(headers),
         headers=headers,
     )
 
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -132,10 +132,11 @@
         If no head of an answer to this request arrived.
     """
     first = placement.first
+    entry = relay.replicas.replicas[first.id].entry
     outgoing = relay.adapter.encode_attempt(
         call.request,
         call.body,
-        replica=relay.replicas.replicas[first.id].entry,
+        replica=entry,
         customer=call.customer.name if call.customer else "",
         left_s=call.remaining_s(now_s=read_clock()),
         helpers=(
@@ -145,13 +146,13 @@
         urgency=find_admission_priority(call),
         resume_after=resume_after or call.request.resume_after,
     )
-    channel, head = await exchange_head(
+    channel, head, sent_s = await exchange_head(
         relay, call, first, outgoing, head_timeout_s=head_timeout_s, more=more
     )
     whole = False
     try:
         answer = relay.adapter.decode_answer(head)
-        record_response(relay, first.id, answer)
+        record_response(relay, entry, answer, sent_s=sent_s)
         check_answer(call, answer)
         attempt = Attempt(channel, answer, placement)
         yield attempt
@@ -167,13 +168,22 @@
 
 
 async def exchange_head(relay, call, first, outgoing, *, head_timeout_s, more):
-    """Send a request to a replica; return the connection and the head of the answer.
+    """Send a request to a replica and read the head of its answer.
 
     A replica may close a kept connection at any time; a request that crosses the close
     on the wire is reset. The replica has nearly always not read it, and is healthy, so
     a repeatable request is sent to it again on a new connection. Otherwise two closed
     connections would use up all attempts of a request.
 
+    Returns
+    -------
+    channel : Channel
+        The connection.
+    head : ResponseHead
+        The head of the answer.
+    sent_s : float
+        When the request was sent.
+
     Raises
     ------
     AttemptFailed
@@ -201,7 +211,7 @@
                 announce_late_send(relay, first.id, now_s=now_s)
             announced_s = float("-inf")
             head = await channel.request(outgoing, timeout_s=head_timeout_s, more=more)
-            return channel, head
+            return channel, head, now_s
         except BaseException as error:
             await channel.aclose()
             if not isinstance(error, ChannelError):
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -2,7 +2,7 @@
 
 import math
 
-from lycheetide.gossip import Doubted, Suspected
+from lycheetide.gossip import NO_LIMIT, Doubted, Life, Suspected
 from lycheetide.relay._outcomes import Cause
 from lycheetide.relay._state import read_clock
 
@@ -31,16 +31,51 @@
         relay.counters.add("replicas.doubted")
 
 
-def record_response(relay, replica, answer):
-    """Record what a response head shows about its replica and about others."""
+def record_response(relay, entry, answer, *, sent_s):
+    """Record what a response head shows about its replica and about others.
+
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    entry : RegistryEntry
+        The replica as registered when the request was sent.
+    answer : ReplicaResponse
+        The head of the response.
+    sent_s : float
+        When the request was sent.
+    """
     now_s = read_clock()
-    relay.failure_detector.hear(replica, now_s=now_s)
+    relay.failure_detector.hear(entry.id, now_s=now_s)
+    if not answer.is_other_replica:
+        record_named_limit(relay, entry, answer, sent_s=sent_s, now_s=now_s)
     if answer.is_unstarted and answer.at_fault:
         for known in list(relay.replicas.replicas.values()):
             if answer.at_fault in (known.entry.id, known.entry.address):
                 suspect(relay, known.entry.id, "another replica waited for it")
 
 
+def record_named_limit(relay, entry, answer, *, sent_s, now_s):
+    """Record the limit that a replica names in an answer, or that it names none.
+
+    A refusal that names no limit doesn't end one: only an answer to a request that ran
+    shows that the replica takes work again.
+    """
+    limit_per_s = answer.limit_per_s
+    if limit_per_s is None or (limit_per_s == NO_LIMIT and not answer.is_sealed):
+        return
+    life = Life(entry.id, entry.born_ms)
+    if not relay.limits.hear(life, limit_per_s, sent_s=sent_s, now_s=now_s):
+        return
+    is_limited = limit_per_s < NO_LIMIT
+    relay.counters.add("limits.named" if is_limited else "limits.ended")
+    relay.log.info(
+        "A replica names a limit." if is_limited else "A replica names no limit now.",
+        extra={"replica": entry.id}
+        | ({"limit_per_s": limit_per_s} if is_limited else {}),
+    )
+
+
 def record_failed_attempt(relay, call, placement, failure):
     """Record a failed attempt."""
     call.may_have_run = call.may_have_run or failure.may_have_run
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -14,6 +14,7 @@
     DelayEstimator,
     FailureDetector,
     JobTable,
+    LimitTable,
     MemoryQueue,
     PaceTable,
     PeerTable,
@@ -110,6 +111,7 @@
         self.message_delays = DelayEstimator()
         self.memory_queue = MemoryQueue()
         self.paces = PaceTable()
+        self.limits = LimitTable()
         self.reported_paces: tuple[tuple[str, float], ...] = ()
         self.peers = PeerTable(settings.peer_address, fleet=settings.store_address)
         self.pool = ChannelPool()
