--- a/standins/replica.py
+++ b/standins/replica.py
@@ -6,6 +6,7 @@
 
 import json
 import time
+from dataclasses import replace
 
 import anyio
 
@@ -70,6 +71,8 @@
         Length of the pause of the steps "late" and "pause".
     pace : float
         Factor by which it reports its work to take longer than stated.
+    limit : str or None
+        The limit that it names in its answers; None to name none.
     refused_helper : str
         Address of a replica; requests that use it as a helper are refused, and the
         refusal names it.
@@ -91,6 +94,7 @@
         self.refused_helper = ""
         self.long_pause_s = 0.0
         self.pace = 1.0
+        self.limit = None
         self.adds_attempt_ids = False
         self.resets_reused_connections = False
         self._used_connections = set()
@@ -111,6 +115,17 @@
 
     async def answer(self, request, stream):
         """Handle one request."""
+        response = await self._respond(request, stream)
+        if response is None or response is RESPONSE_SENT:
+            return response
+        return replace(response, headers=self.make_state_headers() | response.headers)
+
+    def make_state_headers(self):
+        """Return the headers with which it reports its state in each answer."""
+        return {} if self.limit is None else {"Server-Limit": self.limit}
+
+    async def _respond(self, request, stream):
+        """Return the response to a request, or send it."""
         if request.target == "/-/order":
             return self._take_order(json.loads(request.body))
         if request.target == "/-/report":
@@ -151,7 +166,7 @@
             await anyio.sleep(self.long_pause_s)
         if step == "crossed":
             attempt = "0" * 16
-        head = {
+        head = self.make_state_headers() | {
             "Lycheetide-Attempt-Id": attempt,
             "Lycheetide-Response-Seal": RESPONSE_SEAL,
         }
