Keep to the limits that replicas name, at all nodes together

Why this works: the limit is dealt among the living nodes as whole requests in a window of 4 s along the hash ring, so that any number of nodes keeps it without a message; the share is checked at the moment of sending too, so what was chosen before the word came doesn't go past it. Nodes tell each other what a replica said, ordered by a version, and the shares move on if no answer comes.

Before: test_a_replica_gets_no_more_than_the_limit_that_it_names fails with 48 requests in 4 s (14 allowed). The tests of relay, placement, gossip, platform and replicas pass.

--- a/lycheetide/gossip/__init__.py
+++ b/lycheetide/gossip/__init__.py
@@ -13,11 +13,13 @@
 from lycheetide.gossip._jobs import START_WINDOW_S, Job, JobTable, make_job
 from lycheetide.gossip._memory_queue import MemoryQueue, WaitingRequest
 from lycheetide.gossip._messages import (
+    MAX_DATAGRAM_BYTES,
     Bundle,
     Doubted,
     Ended,
     Heartbeat,
     JobPart,
+    LimitReport,
     MemoryWanted,
     Message,
     RegistryUpdate,
@@ -32,6 +34,7 @@
 from lycheetide.gossip._workload import UnreadPart
 
 __all__ = [
+    "MAX_DATAGRAM_BYTES",
     "NO_LIMIT",
     "START_WINDOW_S",
     "Bundle",
@@ -44,6 +47,7 @@
     "JobPart",
     "JobTable",
     "Life",
+    "LimitReport",
     "LimitTable",
     "MemoryQueue",
     "MemoryWanted",
--- a/lycheetide/gossip/_messages.py
+++ b/lycheetide/gossip/_messages.py
@@ -103,6 +103,31 @@
     tokens: int
 
 
+class LimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a replica last said of the requests that it takes.
+
+    Parameters
+    ----------
+    replica : str
+        Id of the replica.
+    born_ms : int
+        Start of its process in Unix milliseconds; 0 if unknown.
+    limit_thousandths : int
+        Requests in a thousand seconds that it takes from all nodes together; below 0
+        if it has stopped naming a limit.
+    version : int
+        Number of times that the limit has changed.
+    age_ms : int
+        Time since its latest answer that said so.
+    """
+
+    replica: str
+    born_ms: int
+    limit_thousandths: int
+    version: int
+    age_ms: int
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="h"):
     """Heartbeat of a node, with the sender's state.
 
@@ -149,6 +174,9 @@
         Replicas that reported their pace to the sender within the last seconds and are
         slow, or have just stopped being slow, each with its pace in hundredths. Only
         hubs fill it in.
+    limits : tuple of LimitReport
+        Replicas that name a limit, or have just stopped doing so, as far as the sender
+        knows; as many as fit.
 
     Notes
     -----
@@ -174,6 +202,7 @@
     link_mbps: int = 0
     is_store_reachable: bool = True
     paces: tuple[tuple[str, int], ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class RegistryUpdate(msgspec.Struct, frozen=True, array_like=True, tag="c"):
--- a/lycheetide/placement/__init__.py
+++ b/lycheetide/placement/__init__.py
@@ -26,8 +26,10 @@
     needs_several_replicas,
     share_memory,
 )
+from lycheetide.placement._named_limits import LimitShare, share_named_limit
 from lycheetide.placement._pack import SHORT_PREFILL_S, estimate_unknown_requests
 from lycheetide.placement._retry_budget import RetryWindow
+from lycheetide.placement._ring import make_step_counter
 from lycheetide.placement._spread import MAX_HELPERS, ON_TIME_SHARE, spread_prompt
 from lycheetide.placement._types import (
     Arrivals,
@@ -48,6 +50,7 @@
     "Arrivals",
     "Candidate",
     "DecodingGroup",
+    "LimitShare",
     "MemoryShare",
     "PendingPrefill",
     "Placement",
@@ -59,6 +62,7 @@
     "estimate_pass_s",
     "estimate_prefill_s",
     "estimate_unknown_requests",
+    "make_step_counter",
     "may_send",
     "needs_several_replicas",
     "place_plain_request",
@@ -66,5 +70,6 @@
     "rank_replicas",
     "share_cold_limits",
     "share_memory",
+    "share_named_limit",
     "spread_prompt",
 ]
--- a/lycheetide/placement/_cold_limits.py
+++ b/lycheetide/placement/_cold_limits.py
@@ -7,16 +7,12 @@
 """
 
 import math
-from bisect import bisect_left
-from functools import lru_cache
 
-import xxhash
+from lycheetide.placement._ring import make_step_counter
 
 SAFETY_FACTOR = 0.6
 """Fraction of the limit that is used. The rest is a margin for nodes that know fewer
 peers and therefore compute larger shares."""
-RING_CACHE_SIZE = 4_096
-"""Number of node and replica names whose ring positions are cached, 0.5 MB."""
 WARM_STARTS_PER_S = 4
 """Requests per second that one node may send to a warm replica of a service with a cold
 limit, as long as other replicas are available."""
@@ -54,8 +50,7 @@
     7
     """
     count = len(nodes)
-    own_position = _hash_to_ring(node)
-    places: list[int] = []
+    count_steps = make_step_counter(node, nodes)
 
     def find_allowance(limit_per_s, replica):
         if limit_per_s <= 0:
@@ -63,21 +58,11 @@
         usable = max(1, int(limit_per_s * SAFETY_FACTOR))
         if count <= usable:
             return usable // count
-        if not places:
-            places.extend(sorted(map(_hash_to_ring, nodes)))
-        first_sender = bisect_left(places, _hash_to_ring(replica))
-        steps = (bisect_left(places, own_position) - first_sender) % count
-        return 1 if steps < usable else 0
+        return 1 if count_steps(replica) < usable else 0
 
     return find_allowance
 
 
-@lru_cache(maxsize=RING_CACHE_SIZE)
-def _hash_to_ring(name):
-    """Return the position of a node or a replica on the hash ring."""
-    return xxhash.xxh64_intdigest(name.encode())
-
-
 def may_send(
     limit_per_s,
     *,
--- a/lycheetide/placement/_types.py
+++ b/lycheetide/placement/_types.py
@@ -114,6 +114,8 @@
         Whether it was silent and hasn't answered since.
     is_cold : bool
         Whether it has just started, or has become cold again.
+    is_limited : bool
+        Whether it names a limit on the requests that it takes.
     pace : float
         Factor by which its work takes longer than its engine's profile states.
     """
@@ -131,6 +133,7 @@
     is_near: bool = True
     is_recovering: bool = False
     is_cold: bool = False
+    is_limited: bool = False
     pace: float = 1.0
 
     @property
@@ -145,7 +148,7 @@
     @property
     def may_help(self):
         """Whether the replica may prefill a part of another replica's prompt."""
-        is_trusted = not (self.is_recovering or self.is_cold)
+        is_trusted = not (self.is_recovering or self.is_cold or self.is_limited)
         return is_trusted and self.helping < self.slots - 1
 
     def disturbed_weight(self, pause_s):
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -10,6 +10,7 @@
 from lycheetide.placement import Placement
 from lycheetide.relay._call import find_admission_priority
 from lycheetide.relay._evidence import record_response, suspect
+from lycheetide.relay._named_limits import may_still_send
 from lycheetide.relay._outcomes import AttemptFailed, Cause
 from lycheetide.relay._retries import spend_retry
 from lycheetide.relay._state import read_clock
@@ -159,14 +160,19 @@
         whole = channel.is_reusable and not _closes_connection(answer)
     finally:
         if whole:
-            now_s = read_clock()
-            nodes = len(relay.list_alive_nodes(now_s=now_s))
-            max_idle = compute_idle_limit(call.service.max_connections, nodes)
-            await relay.pool.give_back(channel, now_s=now_s, max_idle=max_idle)
+            await return_channel(relay, call, channel)
         else:
             await channel.aclose()
 
 
+async def return_channel(relay, call, channel):
+    """Return a connection to the pool."""
+    now_s = read_clock()
+    nodes = len(relay.list_alive_nodes(now_s=now_s))
+    max_idle = compute_idle_limit(call.service.max_connections, nodes)
+    await relay.pool.give_back(channel, now_s=now_s, max_idle=max_idle)
+
+
 async def exchange_head(relay, call, first, outgoing, *, head_timeout_s, more):
     """Send a request to a replica and read the head of its answer.
 
@@ -198,6 +204,13 @@
             channel = await connect(relay, call, first, is_fresh=is_fresh)
         finally:
             relay.record_placement_ended(first.id)
+        if not may_still_send(relay, first.id):
+            await return_channel(relay, call, channel)
+            raise AttemptFailed(
+                Cause.LIMITED,
+                "the replica has named a limit meanwhile",
+                may_have_run=call.may_have_run,
+            )
         if not is_counted:
             # Counted only now: an unreachable replica must not use up an attempt.
             call.sent += 1
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -2,7 +2,8 @@
 
 import math
 
-from lycheetide.gossip import NO_LIMIT, Doubted, Life, Suspected
+from lycheetide.gossip import Doubted, Suspected
+from lycheetide.relay._named_limits import record_named_limit
 from lycheetide.relay._outcomes import Cause
 from lycheetide.relay._state import read_clock
 
@@ -55,27 +56,6 @@
                 suspect(relay, known.entry.id, "another replica waited for it")
 
 
-def record_named_limit(relay, entry, answer, *, sent_s, now_s):
-    """Record the limit that a replica names in an answer, or that it names none.
-
-    A refusal that names no limit doesn't end one: only an answer to a request that ran
-    shows that the replica takes work again.
-    """
-    limit_per_s = answer.limit_per_s
-    if limit_per_s is None or (limit_per_s == NO_LIMIT and not answer.is_sealed):
-        return
-    life = Life(entry.id, entry.born_ms)
-    if not relay.limits.hear(life, limit_per_s, sent_s=sent_s, now_s=now_s):
-        return
-    is_limited = limit_per_s < NO_LIMIT
-    relay.counters.add("limits.named" if is_limited else "limits.ended")
-    relay.log.info(
-        "A replica names a limit." if is_limited else "A replica names no limit now.",
-        extra={"replica": entry.id}
-        | ({"limit_per_s": limit_per_s} if is_limited else {}),
-    )
-
-
 def record_failed_attempt(relay, call, placement, failure):
     """Record a failed attempt."""
     call.may_have_run = call.may_have_run or failure.may_have_run
@@ -85,6 +65,8 @@
         call.helpers_refused = True
     if failure.cause is Cause.REFUSED and not failure.may_have_run:
         call.record_refusal(placement.first.id, now_s=read_clock())
+    if failure.cause is Cause.LIMITED:
+        call.tried.discard(placement.first.id)
     if failure.cause is Cause.BROKEN:
         doubt(relay, placement.first.id)
     if failure.cause is Cause.SILENT:
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -7,6 +7,7 @@
 
 from lycheetide.exchange import StoreUnavailable
 from lycheetide.gossip import (
+    MAX_DATAGRAM_BYTES,
     Bundle,
     Doubted,
     Ended,
@@ -23,6 +24,7 @@
 from lycheetide.relay._apply_records import apply_peer_changes, record_outage_end
 from lycheetide.relay._broadcast import Broadcaster, is_large_fleet
 from lycheetide.relay._datagrams import classify_datagram, make_sender, receive_all
+from lycheetide.relay._named_limits import merge_limits
 from lycheetide.relay._peer_state import fetch_registry
 from lycheetide.relay._roles import (
     compare_digests,
@@ -68,6 +70,8 @@
 MAX_PACES_LISTED = 16
 """Paces listed in one heartbeat. If there are more, each heartbeat lists a random
 sample."""
+LIMIT_REPORT_BYTES = 45
+"""Upper bound of the size of one report on a limit, for ids of up to 16 characters."""
 MAX_PEERS_LISTED = 40
 """Addresses in one reply; three replies cover a fleet of a hundred nodes."""
 EXPIRE_INTERVAL_S = 0.5
@@ -243,6 +247,17 @@
             paces = self.relay.random.sample(paces, MAX_PACES_LISTED)
         return tuple((replica, round(100 * pace)) for replica, pace in paces)
 
+    def _sample_limits(self, heartbeat, *, now_s):
+        """Return as many reports on limits as fit into the datagram of a heartbeat."""
+        reports = self.relay.limits.make_reports(now_s=now_s)
+        if not reports:
+            return ()
+        free_bytes = MAX_DATAGRAM_BYTES - len(encode_message(heartbeat))
+        most = max(0, free_bytes // LIMIT_REPORT_BYTES)
+        if len(reports) > most:
+            reports = self.relay.random.sample(reports, most)
+        return tuple(reports)
+
     def make_heartbeat(self, *, now_s, peers=(), wants_reply=None):
         """Return a heartbeat message with this node's state."""
         relay = self.relay
@@ -250,7 +265,7 @@
         heard = relay.failure_detector.list_answered(since_s=since_s)
         knows_few = not relay.peers.alive(now_s=now_s)
         jobs = tuple(relay.job_table.running(relay.node))
-        return Heartbeat(
+        heartbeat = Heartbeat(
             fleet=relay.peers.fleet,
             node=relay.node,
             address=relay.settings.peer_address,
@@ -270,6 +285,9 @@
             is_store_reachable=relay.is_store_reachable,
             paces=self._sample_paces(),
         )
+        return msgspec.structs.replace(
+            heartbeat, limits=self._sample_limits(heartbeat, now_s=now_s)
+        )
 
     def close(self):
         """Close the socket that sends."""
@@ -362,6 +380,7 @@
             relay.failure_detector.note_peer_report(replica, now_s=now_s)
         for replica, pace_hundredths in heartbeat.paces:
             relay.paces.note(replica, pace_hundredths / 100, now_s=now_s)
+        merge_limits(relay, heartbeat.limits, now_s=now_s)
         for address in heartbeat.peers:
             relay.peers.add_address(address, now_s=now_s)
         record_outage_end(relay, heartbeat.returned_age_s, now_s=now_s)
--- a/lycheetide/relay/_outcomes.py
+++ b/lycheetide/relay/_outcomes.py
@@ -14,6 +14,7 @@
     NO_REPLICA = "no_replica"
     NO_MEMORY = "no_memory"
     NO_ROOM = "no_room"
+    LIMITED = "limited"
     REFUSED = "refused"
     OTHER_REPLICA = "other_replica"
     CONNECT_FAILED = "connect_failed"
--- a/lycheetide/relay/_paces.py
+++ b/lycheetide/relay/_paces.py
@@ -42,8 +42,8 @@
     """Return the registry entries of the replicas that this node asks for reports.
 
     They are those of its failure domain if it is the hub there, and those of domains
-    without a hub if it is the first of all hubs. A cold replica isn't asked, because
-    the request would count towards its limit.
+    without a hub if it is the first of all hubs. A replica that is cold or names a
+    limit isn't asked, because the request would count towards its limit.
     """
     hubs = find_hubs(relay, now_s=now_s)
     own_domain = relay.settings.failure_domain
@@ -58,6 +58,7 @@
             service.name, now_s=now_s, closed=relay.closed
         )
         if not replica.is_cold(now_s=now_s)
+        and relay.find_named_limit(replica.entry.id) is None
         and (
             replica.entry.failure_domain == own_domain
             or (is_first and replica.entry.failure_domain not in hubs)
--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -1,4 +1,4 @@
-"""Choose the replica for a call, within the cold limits."""
+"""Choose the replica for a call, within the limits of cold replicas and named ones."""
 
 import anyio
 
@@ -14,6 +14,7 @@
     share_cold_limits,
 )
 from lycheetide.relay._broadcast import estimate_propagation_s
+from lycheetide.relay._named_limits import make_opening_finder
 from lycheetide.relay._outcomes import Cause, Refusal
 from lycheetide.relay._state import read_clock
 from lycheetide.routes import DEFAULT_ENGINE
@@ -88,7 +89,7 @@
     Returns
     -------
     admissible : list of Candidate
-        Replicas within their cold limits.
+        Replicas within their cold limits and within the limits that they name.
     usable : list of Candidate
         All replicas that take work.
     """
@@ -100,10 +101,12 @@
     )
     living = relay.list_alive_nodes(now_s=now_s)
     find_allowance = share_cold_limits(relay.node, living)
+    find_opening_s = make_opening_finder(relay, living, now_s=now_s)
+    within_limits = [one for one in usable if find_opening_s(one.id) <= 0.0]
     for is_last_resort in (False, True):
         admissible = [
             one
-            for one in usable
+            for one in within_limits
             if is_within_cold_limit(
                 relay,
                 call.service,
@@ -194,12 +197,23 @@
         placement = find_placement(relay, call, candidates, now_s=read_clock())
         if is_worthwhile(call, placement):
             return placement
-        is_unservable = not usable and not call.is_begun
+        opening_s = find_earliest_opening_s(relay, usable, now_s=read_clock())
+        is_unservable = opening_s > wait_s and not call.is_begun
         if is_unservable or read_clock() - begun_s >= wait_s:
             raise make_placement_refusal(relay, call, placement, candidates)
         await anyio.sleep(PLACEMENT_POLL_S)
 
 
+def find_earliest_opening_s(relay, usable, *, now_s):
+    """Return after how long the limits of some replica leave room, in seconds.
+
+    Infinity if no replica is usable, or if this node has no share of any limit.
+    """
+    living = relay.list_alive_nodes(now_s=now_s)
+    find_opening_s = make_opening_finder(relay, living, now_s=now_s)
+    return min((find_opening_s(one.id) for one in usable), default=float("inf"))
+
+
 def find_placement_wait_s(call):
     """Return how long a call waits for a placement, in seconds.
 
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -10,10 +10,10 @@
 import anyio
 
 from lycheetide.gossip import (
-    START_WINDOW_S,
     DelayEstimator,
     FailureDetector,
     JobTable,
+    Life,
     LimitTable,
     MemoryQueue,
     PaceTable,
@@ -36,6 +36,10 @@
 from lycheetide.routes import RouteTable
 from lycheetide.tasks import StallDetector
 
+OWN_START_RETENTION_S = 15.0
+"""How long this node's own requests are remembered: longer than any window in which
+they are counted."""
+
 
 def read_clock():
     """Return the current time of the monotonic clock that this node uses."""
@@ -217,19 +221,26 @@
         If they were counted only when sent, each request placed during the stall would
         pass the limit as if it were the first.
         """
-        starts = self._own_starts[replica]
-        while starts and now_s - starts[0] > window_s:
+        recent = self.list_own_starts(replica, window_s, now_s=now_s)
+        return len(recent) + self.count_placed(replica)
+
+    def list_own_starts(self, replica, window_s, *, now_s):
+        """Return the times of this node's recent requests to a replica, in order."""
+        starts = self._own_starts.get(replica)
+        if not starts:
+            return []
+        while starts and now_s - starts[0] > OWN_START_RETENTION_S:
             starts.popleft()
-        return len(starts) + self._own_placed[replica]
+        begins_s = now_s - window_s
+        return list(takewhile(begins_s.__le__, reversed(starts)))[::-1]
+
+    def count_placed(self, replica):
+        """Return the number of requests that are about to be sent to a replica."""
+        return self._own_placed.get(replica, 0)
 
     def own_recent(self, replica, *, now_s):
         """Return the number of this node's requests that others may not know of yet."""
-        placed = self._own_placed.get(replica, 0)
-        starts = self._own_starts.get(replica)
-        if not starts:
-            return placed
-        begins_s = now_s - PROPAGATION_DELAY_S
-        return placed + sum(1 for _ in takewhile(begins_s.__lt__, reversed(starts)))
+        return self.own_starts(replica, PROPAGATION_DELAY_S, now_s=now_s)
 
     def drop_gone_replicas(self, *, now_s):
         """Drop the state of replicas that are gone."""
@@ -239,8 +250,21 @@
         self.job_table.drop_absent(present, now_s=now_s)
         self.failure_detector.drop_absent(present, now_s=now_s)
         for replica in [name for name in self._own_starts if name not in present]:
-            if not self.own_starts(replica, START_WINDOW_S, now_s=now_s):
+            if not self.own_starts(replica, OWN_START_RETENTION_S, now_s=now_s):
                 del self._own_starts[replica]
+        self.limits.drop_outdated(self._is_registered, now_s=now_s)
+
+    def _is_registered(self, life):
+        """Tell whether this start of a replica is registered."""
+        known = self.replicas.replicas.get(life.replica)
+        return known is not None and known.entry.born_ms == life.born_ms
+
+    def find_named_limit(self, replica):
+        """Return the limit that a replica names; None if it names none or is gone."""
+        known = self.replicas.replicas.get(replica)
+        if known is None:
+            return None
+        return self.limits.find(Life(replica, known.entry.born_ms))
 
     def list_alive_nodes(self, *, now_s):
         """Return the names of all live nodes, including this one."""
@@ -321,8 +345,9 @@
         workload = self.job_table.workload(entry.id)
         is_recovering = self.failure_detector.is_recovering(entry.id, now_s=now_s)
         is_cold = replica.is_cold(now_s=now_s)
+        is_limited = self.find_named_limit(entry.id) is not None
         pace = self.paces.pace(entry.id, now_s=now_s)
-        is_ordinary = pace == 1.0 and not (is_recovering or is_cold)
+        is_ordinary = pace == 1.0 and not (is_recovering or is_cold or is_limited)
         if is_ordinary and workload.is_idle(now_s=now_s):
             return self._make_idle_candidate(entry, rank)
         return Candidate(
@@ -344,6 +369,7 @@
             is_near=entry.failure_domain == self.settings.failure_domain,
             is_recovering=is_recovering,
             is_cold=is_cold,
+            is_limited=is_limited,
             pace=pace,
         )
 
