Log and count the times of rest that replicas ask for

Cause: the record of BUDGET shows that a replica had asked for rest, but no log line or metric of a node does, so a time that is never read can't be told from one that only the refused call keeps. Change: Retry-After of a replica's 503 is decoded; the log line of the failed attempt has it, and a counter. Nothing is held back by it yet.

--- a/lycheetide/exchange/_types.py
+++ b/lycheetide/exchange/_types.py
@@ -95,6 +95,9 @@
     limit_per_s : float or None
         Requests per second that the replica takes from all nodes together; infinity if
         it names no limit, None if what it names can't be read.
+    rest_s : float
+        Time for which the replica, which has turned the request away, wants nothing
+        from this node; 0 if it asks for no rest.
     headers : tuple of (bytes, bytes)
         All headers.
     """
@@ -109,6 +112,7 @@
     load: ReportedLoad | None
     cold_s: float
     limit_per_s: float | None
+    rest_s: float
     headers: tuple[tuple[bytes, bytes], ...]
 
 
--- a/lycheetide/platform/_requests.py
+++ b/lycheetide/platform/_requests.py
@@ -23,6 +23,7 @@
 AT_FAULT = b"at-server"
 COLD_MS = b"lycheetide-cold-ms"
 LIMIT = b"server-limit"
+RETRY_AFTER = b"retry-after"
 
 _DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
@@ -95,6 +96,23 @@
     return min(map(float, values), default=float("inf"))
 
 
+def _parse_rest_s(head):
+    """Return for how many seconds a refusal asks this node to send nothing.
+
+    Returns
+    -------
+    float
+        0 if the response is no refusal or asks for no rest; the longest time if it
+        names several. A value that isn't a decimal number, such as a date, is ignored.
+        A number too large for a float is infinity.
+    """
+    if head.status != 503:
+        return 0.0
+    values = [value.strip() for key, value in head.headers if key == RETRY_AFTER]
+    numbers = [float(value) for value in values if _DECIMAL_NUMBER.fullmatch(value)]
+    return max(numbers, default=0.0)
+
+
 def _parse_token_counts(text):
     """Return the number of prompt tokens and the maximum number of answer tokens.
 
@@ -238,6 +256,7 @@
         load=_decode_load(_find_header(headers, LOAD)),
         cold_s=_parse_number(_find_header(headers, COLD_MS)) / 1e3,
         limit_per_s=_parse_limit(headers),
+        rest_s=_parse_rest_s(head),
         headers=headers,
     )
 
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -294,6 +294,7 @@
             f"status {answer.status}",
             may_have_run=False,
             names_helper=bool(answer.at_fault),
+            rest_s=answer.rest_s,
         )
     if answer.attempt_id != call.request.attempt_id:
         raise AttemptFailed(
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -79,6 +79,8 @@
         call.sent -= 1
         suspect(relay, placement.first.id, "another replica answers there")
     relay.counters.add(f"attempts_failed.{failure.cause}")
+    if failure.rest_s > 0:
+        relay.counters.add("replicas.asked_for_rest")
     relay.log.info(
         "An attempt failed.",
         extra={
@@ -88,6 +90,7 @@
             "detail": str(failure),
             "may_have_run": call.may_have_run,
             "sent": call.sent,
+            "rest_s": failure.rest_s,
             **make_health_fields(relay, placement.first.id, now_s=read_clock()),
         },
     )
