--- a/lycheetide/relay/tests/test_named_limits.py
+++ b/lycheetide/relay/tests/test_named_limits.py
@@ -2,7 +2,6 @@
 
 import time
 
-import anyio
 import pytest
 
 from lycheetide.gossip import NO_LIMIT, Life, encode_message
@@ -25,24 +24,6 @@
     return "asyncio"
 
 
-async def send_lookups(fleet, *, seconds, per_s):
-    """Send lookups to all nodes in turn; return the statuses of the answers."""
-    statuses = []
-
-    async def send(relay):
-        response = await fleet.look(relay=relay)
-        statuses.append(response.status_code)
-
-    until_s = time.monotonic() + seconds
-    async with anyio.create_task_group() as group:
-        number = 0
-        while time.monotonic() < until_s:
-            group.start_soon(send, number % len(fleet.relays))
-            number += 1
-            await anyio.sleep(1 / per_s)
-    return statuses
-
-
 def count_most(times, *, window_s, since_s):
     """Return the largest number of requests in any window after a time."""
     late = [at_s for at_s in times if at_s >= since_s]
@@ -57,7 +38,7 @@
     async with RelayDeployment(relays=3, replicas=3) as fleet:
         named_s = time.monotonic()
         fleet.replicas[0].limit = "1.5"
-        statuses = await send_lookups(fleet, seconds=8.0, per_s=15.0)
+        statuses = await fleet.send_lookups(seconds=8.0, per_s=15.0)
         received = fleet.replicas[0].received_times
         most = count_most(received, window_s=WINDOW_S, since_s=named_s + SETTLING_S)
         sent = len(fleet.received())
--- a/standins/relay_deployment.py
+++ b/standins/relay_deployment.py
@@ -211,6 +211,23 @@
         headers = self.make_headers(tokens="", **fields)
         return await self.http.get(self.url(path, relay), headers=headers)
 
+    async def send_lookups(self, *, seconds, per_s):
+        """Send lookups to all relays in turn; return the statuses of the answers."""
+        statuses = []
+
+        async def send(relay):
+            response = await self.look(relay=relay)
+            statuses.append(response.status_code)
+
+        until_s = time.monotonic() + seconds
+        async with anyio.create_task_group() as group:
+            number = 0
+            while time.monotonic() < until_s:
+                group.start_soon(send, number % len(self.relays))
+                number += 1
+                await anyio.sleep(1 / per_s)
+        return statuses
+
     async def book(self, *, relay=0, **fields):
         """Send a booking, which is not idempotent."""
         headers = self.make_headers(tokens="", **fields)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -73,6 +73,9 @@
         Factor by which it reports its work to take longer than stated.
     limit : str or None
         The limit that it names in its answers; None to name none.
+    rest : str or None
+        The time of rest that it asks for when it refuses a request, in seconds; None
+        for none.
     refused_helper : str
         Address of a replica; requests that use it as a helper are refused, and the
         refusal names it.
@@ -95,6 +98,7 @@
         self.long_pause_s = 0.0
         self.pace = 1.0
         self.limit = None
+        self.rest = None
         self.adds_attempt_ids = False
         self.resets_reused_connections = False
         self._used_connections = set()
@@ -142,14 +146,20 @@
         helpers = request.headers.get("lycheetide-helpers", "")
         has_helpers = bool(helpers)
         if self.refused_helper and self.refused_helper in helpers:
-            head = {"Lycheetide-Not-Executed": "1", "At-Server": self.refused_helper}
-            return Response(503, b"", head)
+            return self._refuse({"At-Server": self.refused_helper})
         if step == "refuse" or (step == "refuse-helped" and has_helpers):
-            return Response(503, b"", {"Lycheetide-Not-Executed": "1"})
+            return self._refuse({})
         attempt = request.headers.get("lycheetide-attempt-id", "")
         self.runs.append(attempt)
         return await self._run(request, stream, step, attempt)
 
+    def _refuse(self, headers):
+        """Return a refusal of a request that was not started."""
+        headers = headers | {"Lycheetide-Not-Executed": "1"}
+        if self.rest is not None:
+            headers["Retry-After"] = self.rest
+        return Response(503, b"", headers)
+
     def _report(self, request):
         """Answer a request for a report."""
         if request.headers["lycheetide-expect-instance"] != self.name:
