Leave a replica alone for the time of rest that it asked for

Cause: Retry-After of a replica was never read, and a refusal is remembered by the call, not by the node. A replica that runs nothing looks idle, so the next call found it the best place again. The failing test sees one request of each call.

Why this works: the time is kept by the node for the present start of the replica, which is then no candidate for anything, and checked once more at the moment of sending. Other nodes prefer other replicas for one to two times as long, so they needn't be turned away themselves and don't all try again at once. If all replicas rest, callers are refused at once with the time until the first is back. A minute at most counts.

Before: test_a_replica_that_asked_for_rest_is_not_asked_again_meanwhile fails with 25 requests (2 allowed). The tests of relay, placement, gossip, platform and replicas pass.

--- a/lycheetide/gossip/__init__.py
+++ b/lycheetide/gossip/__init__.py
@@ -11,6 +11,7 @@
 from lycheetide.gossip._delays import DelayEstimator, make_sent_ms
 from lycheetide.gossip._failure_detector import FailureDetector
 from lycheetide.gossip._jobs import START_WINDOW_S, Job, JobTable, make_job
+from lycheetide.gossip._lives import Life
 from lycheetide.gossip._memory_queue import MemoryQueue, WaitingRequest
 from lycheetide.gossip._messages import (
     MAX_DATAGRAM_BYTES,
@@ -28,9 +29,10 @@
     decode_message,
     encode_message,
 )
-from lycheetide.gossip._named_limits import NO_LIMIT, Life, LimitTable
+from lycheetide.gossip._named_limits import NO_LIMIT, LimitTable
 from lycheetide.gossip._paces import PaceTable
 from lycheetide.gossip._peers import Peer, PeerTable, order_node
+from lycheetide.gossip._rests import RestTable
 from lycheetide.gossip._workload import UnreadPart
 
 __all__ = [
@@ -56,6 +58,7 @@
     "Peer",
     "PeerTable",
     "RegistryUpdate",
+    "RestTable",
     "Started",
     "Suspected",
     "UnreadPart",
--- a/lycheetide/gossip/_messages.py
+++ b/lycheetide/gossip/_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from lycheetide.gossip._lives import Life
+
 MAX_DATAGRAM_BYTES = 1_400
 """Fits one Ethernet frame, so that a datagram arrives whole or not at all."""
 
@@ -77,10 +79,29 @@
 
 
 class Doubted(msgspec.Struct, frozen=True, array_like=True, tag="d"):
-    """A replica has broken off an answer."""
+    """Other replicas are preferred to one that broke off an answer or asked for rest.
+
+    Parameters
+    ----------
+    node : str
+        Node that it did so to.
+    replica : str
+        Id of the replica.
+    born_ms : int
+        Start of its process in Unix milliseconds, where it asked for rest.
+    rest_ms : int
+        Time for which it asked for rest; 0 if it broke off an answer.
+    """
 
     node: str
     replica: str
+    born_ms: int = 0
+    rest_ms: int = 0
+
+    @property
+    def life(self):
+        """The start of the replica that asked for rest."""
+        return Life(self.replica, self.born_ms)
 
 
 class MemoryWanted(msgspec.Struct, frozen=True, array_like=True, tag="w"):
--- a/lycheetide/gossip/_named_limits.py
+++ b/lycheetide/gossip/_named_limits.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 
 from lycheetide.gossip._jobs import REPLICA_RETENTION_S
+from lycheetide.gossip._lives import Life
 from lycheetide.gossip._messages import LimitReport
 
 NO_LIMIT = float("inf")
@@ -24,22 +25,6 @@
 from another node equals the one that was heard."""
 
 
-@dataclass(frozen=True)
-class Life:
-    """One start of a replica; the next start owes nothing to what this one said.
-
-    Parameters
-    ----------
-    replica : str
-        Id of the replica.
-    born_ms : int
-        Start of its process in Unix milliseconds; 0 if unknown.
-    """
-
-    replica: str
-    born_ms: int
-
-
 @dataclass(frozen=True)
 class NamedLimit:
     """The limit that a replica last named.
@@ -76,6 +61,10 @@
         known = self._limits.get(life)
         return known if known is not None and known.is_in_force else None
 
+    def list_limited(self):
+        """Return the replicas that name a limit."""
+        return [life for life, known in self._limits.items() if known.is_in_force]
+
     def hear(self, life, limit_per_s, *, sent_s, now_s):
         """Record what an answer of a replica says of its limit.
 
--- a/lycheetide/placement/_types.py
+++ b/lycheetide/placement/_types.py
@@ -111,7 +111,7 @@
     is_near : bool
         Whether the replica is in this node's failure domain.
     is_recovering : bool
-        Whether it was silent and hasn't answered since.
+        Whether it was silent and hasn't answered since, or asked another node for rest.
     is_cold : bool
         Whether it has just started, or has become cold again.
     is_limited : bool
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -204,13 +204,10 @@
             channel = await connect(relay, call, first, is_fresh=is_fresh)
         finally:
             relay.record_placement_ended(first.id)
-        if not may_still_send(relay, first.id):
+        held_for = find_hold_cause(relay, first.id, now_s=read_clock())
+        if held_for is not None:
             await return_channel(relay, call, channel)
-            raise AttemptFailed(
-                Cause.LIMITED,
-                "the replica has named a limit meanwhile",
-                may_have_run=call.may_have_run,
-            )
+            raise AttemptFailed(held_for, "not sent", may_have_run=call.may_have_run)
         if not is_counted:
             # Counted only now: an unreachable replica must not use up an attempt.
             call.sent += 1
@@ -242,6 +239,21 @@
         )
 
 
+def find_hold_cause(relay, replica, *, now_s):
+    """Return why a request may no longer be sent to the replica it was placed at.
+
+    Returns
+    -------
+    Cause or None
+        None if it may be sent.
+    """
+    if replica in relay.list_withheld(now_s=now_s):
+        return Cause.RESTING
+    if not may_still_send(relay, replica, now_s=now_s):
+        return Cause.LIMITED
+    return None
+
+
 async def connect(relay, call, first, *, is_fresh):
     """Return a connection to a replica.
 
@@ -294,7 +306,6 @@
             f"status {answer.status}",
             may_have_run=False,
             names_helper=bool(answer.at_fault),
-            rest_s=answer.rest_s,
         )
     if answer.attempt_id != call.request.attempt_id:
         raise AttemptFailed(
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -5,6 +5,7 @@
 from lycheetide.gossip import Doubted, Suspected
 from lycheetide.relay._named_limits import record_named_limit
 from lycheetide.relay._outcomes import Cause
+from lycheetide.relay._rests import record_rest
 from lycheetide.relay._state import read_clock
 
 
@@ -50,6 +51,7 @@
     relay.failure_detector.hear(entry.id, now_s=now_s)
     if not answer.is_other_replica:
         record_named_limit(relay, entry, answer, sent_s=sent_s, now_s=now_s)
+        record_rest(relay, entry, answer.rest_s)
     if answer.is_unstarted and answer.at_fault:
         for known in list(relay.replicas.replicas.values()):
             if answer.at_fault in (known.entry.id, known.entry.address):
@@ -65,7 +67,7 @@
         call.helpers_refused = True
     if failure.cause is Cause.REFUSED and not failure.may_have_run:
         call.record_refusal(placement.first.id, now_s=read_clock())
-    if failure.cause is Cause.LIMITED:
+    if failure.cause in {Cause.LIMITED, Cause.RESTING}:
         call.tried.discard(placement.first.id)
     if failure.cause is Cause.BROKEN:
         doubt(relay, placement.first.id)
@@ -79,8 +81,6 @@
         call.sent -= 1
         suspect(relay, placement.first.id, "another replica answers there")
     relay.counters.add(f"attempts_failed.{failure.cause}")
-    if failure.rest_s > 0:
-        relay.counters.add("replicas.asked_for_rest")
     relay.log.info(
         "An attempt failed.",
         extra={
@@ -90,7 +90,6 @@
             "detail": str(failure),
             "may_have_run": call.may_have_run,
             "sent": call.sent,
-            "rest_s": failure.rest_s,
             **make_health_fields(relay, placement.first.id, now_s=read_clock()),
         },
     )
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -26,6 +26,7 @@
 from lycheetide.relay._datagrams import classify_datagram, make_sender, receive_all
 from lycheetide.relay._named_limits import merge_limits
 from lycheetide.relay._peer_state import fetch_registry
+from lycheetide.relay._rests import record_peer_doubt
 from lycheetide.relay._roles import (
     compare_digests,
     compute_outage_end_age_s,
@@ -337,8 +338,8 @@
                 self.relay.memory_queue.note(waiting, now_s=now_s)
             case Suspected(_, replica):
                 self.relay.failure_detector.suspect(replica, now_s=now_s)
-            case Doubted(_, replica):
-                self.relay.failure_detector.doubt(replica, now_s=now_s)
+            case Doubted():
+                record_peer_doubt(self.relay, message, now_s=now_s)
             case Bundle(_, messages, must_forward):
                 for one in messages:
                     self.handle_message(one, now_s=now_s)
--- a/lycheetide/relay/_named_limits.py
+++ b/lycheetide/relay/_named_limits.py
@@ -1,10 +1,10 @@
 """Keep to the limits that replicas name in their answers."""
 
-from lycheetide.gossip import NO_LIMIT, Life
+from lycheetide.gossip import NO_LIMIT
 from lycheetide.placement import make_step_counter, share_named_limit
 from lycheetide.relay._broadcast import is_large_fleet
 from lycheetide.relay._roles import is_hub
-from lycheetide.relay._state import read_clock
+from lycheetide.relay._state import make_life
 
 
 def record_named_limit(relay, entry, answer, *, sent_s, now_s):
@@ -16,7 +16,7 @@
     limit_per_s = answer.limit_per_s
     if limit_per_s is None or (limit_per_s == NO_LIMIT and not answer.is_sealed):
         return
-    life = Life(entry.id, entry.born_ms)
+    life = make_life(entry)
     if not relay.limits.hear(life, limit_per_s, sent_s=sent_s, now_s=now_s):
         return
     is_limited = limit_per_s < NO_LIMIT
@@ -88,14 +88,13 @@
     return find_opening_s
 
 
-def may_still_send(relay, replica):
+def may_still_send(relay, replica, *, now_s):
     """Tell whether a request that was placed at a replica may be sent to it now.
 
     The replica may have named a limit since it was chosen.
     """
     if relay.find_named_limit(replica) is None:
         return True
-    now_s = read_clock()
     living = relay.list_alive_nodes(now_s=now_s)
     find_opening_s = make_opening_finder(relay, living, now_s=now_s)
     return find_opening_s(replica, with_placed=False) <= 0.0
--- a/lycheetide/relay/_outcomes.py
+++ b/lycheetide/relay/_outcomes.py
@@ -15,6 +15,7 @@
     NO_MEMORY = "no_memory"
     NO_ROOM = "no_room"
     LIMITED = "limited"
+    RESTING = "resting"
     REFUSED = "refused"
     OTHER_REPLICA = "other_replica"
     CONNECT_FAILED = "connect_failed"
@@ -39,16 +40,13 @@
         Whether the replica may have started to run the request.
     names_helper : bool
         Whether the replica refused the request because of a helper that it named.
-    rest_s : float
-        Time for which the replica wants nothing from this node; 0 for none.
     """
 
-    def __init__(self, cause, message, *, may_have_run, names_helper=False, rest_s=0.0):
+    def __init__(self, cause, message, *, may_have_run, names_helper=False):
         super().__init__(message)
         self.cause = cause
         self.may_have_run = may_have_run
         self.names_helper = names_helper
-        self.rest_s = rest_s
 
 
 class Refusal(Exception):
--- a/lycheetide/relay/_paces.py
+++ b/lycheetide/relay/_paces.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lycheetide.httpclient import ChannelConnectError, ChannelError, compute_idle_limit
+from lycheetide.relay._rests import record_rest
 from lycheetide.relay._roles import find_hubs
 from lycheetide.relay._state import read_clock
 
@@ -43,12 +44,14 @@
 
     They are those of its failure domain if it is the hub there, and those of domains
     without a hub if it is the first of all hubs. A replica that is cold or names a
-    limit isn't asked, because the request would count towards its limit.
+    limit isn't asked, because the request would count towards its limit, nor is one
+    that rests.
     """
     hubs = find_hubs(relay, now_s=now_s)
     own_domain = relay.settings.failure_domain
     if relay.route_table is None or hubs.get(own_domain, own_domain) is not None:
         return []
+    withheld = relay.list_withheld(now_s=now_s)
     is_first = all(hub is None or relay.place < hub.place for hub in hubs.values())
     return [
         replica.entry
@@ -58,6 +61,7 @@
             service.name, now_s=now_s, closed=relay.closed
         )
         if not replica.is_cold(now_s=now_s)
+        and replica.entry.id not in withheld
         and relay.find_named_limit(replica.entry.id) is None
         and (
             replica.entry.failure_domain == own_domain
@@ -116,6 +120,8 @@
                 read_clock=read_clock,
                 max_idle=compute_idle_limit(service.max_connections, nodes),
             )
+            if head.status == 503:
+                record_rest(relay, entry, relay.adapter.decode_answer(head).rest_s)
             if head.status == 200:
                 paces[entry.id] = relay.adapter.decode_report(body).pace
         except (ChannelConnectError, ChannelError, msgspec.MsgspecError):
--- a/lycheetide/relay/_reservations.py
+++ b/lycheetide/relay/_reservations.py
@@ -20,6 +20,7 @@
     needs_several_replicas,
 )
 from lycheetide.relay._evidence import suspect
+from lycheetide.relay._rests import record_rest
 from lycheetide.relay._selection import (
     find_placement,
     is_worthwhile,
@@ -38,8 +39,6 @@
 RETRY_PAUSE_S = 0.15
 ANNOUNCE_INTERVAL_S = 0.3
 """Interval at which a call that waits for memory announces that to all nodes."""
-UNREACHABLE = 0
-"""Stands for the status of an order that got no answer."""
 
 
 class MemoryUnavailable(Exception):
@@ -231,20 +230,20 @@
 
 
 async def _order(relay, outgoing, address):
-    """Send an order; return the status of the answer, or ``UNREACHABLE``."""
+    """Send an order; return the head of the answer, or None if there is none."""
     try:
         with anyio.fail_after(ORDER_TIMEOUT_S):
             head, _ = await relay.pool.call(
                 address, outgoing, timeout_s=ORDER_TIMEOUT_S, read_clock=read_clock
             )
-            return head.status
+            return head
     except (ChannelConnectError, ChannelError, TimeoutError) as error:
         relay.log.info(
             "A replica did not answer a reserve or release order.",
             extra={"address": address, "cause": str(error)},
         )
         relay.counters.add("orders.unanswered")
-        return UNREACHABLE
+        return None
 
 
 async def _reserve(relay, replica, ticket, tokens, results):
@@ -252,10 +251,13 @@
     order = relay.adapter.encode_reserve(
         replica.address, ticket, tokens, RESERVATION_TTL_S
     )
-    status = await _order(relay, order, replica.address)
-    if status == UNREACHABLE:
+    entry = relay.replicas.replicas[replica.id].entry
+    head = await _order(relay, order, replica.address)
+    if head is None:
         suspect(relay, replica.id, "no answer to an order")
-    results[ticket] = status == 200
+    elif head.status == 503:
+        record_rest(relay, entry, relay.adapter.decode_answer(head).rest_s)
+    results[ticket] = head is not None and head.status == 200
 
 
 async def _renew(relay, reservations, scope):
--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -95,14 +95,15 @@
     """
     relay.receive_datagrams()
     now_s = read_clock()
-    homes = (call.route.regions, call.customer.regions if call.customer else ())
-    usable = relay.candidates(
-        call.service, now_s=now_s, without=call.list_excluded(now_s=now_s), homes=homes
+    usable = list_usable(
+        relay, call, now_s=now_s, without=relay.list_withheld(now_s=now_s)
     )
     living = relay.list_alive_nodes(now_s=now_s)
     find_allowance = share_cold_limits(relay.node, living)
     find_opening_s = make_opening_finder(relay, living, now_s=now_s)
-    within_limits = [one for one in usable if find_opening_s(one.id) <= 0.0]
+    within_limits = [
+        one for one in usable if not one.is_limited or find_opening_s(one.id) <= 0.0
+    ]
     for is_last_resort in (False, True):
         admissible = [
             one
@@ -122,6 +123,28 @@
     return admissible, usable
 
 
+def list_usable(relay, call, *, now_s, without=frozenset()):
+    """Return the replicas that take work and that a call may be sent to.
+
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    call : Call
+        The call.
+    now_s : float
+        The present time.
+    without : set of str
+        Ids of replicas to leave out, besides those that the call excludes.
+    """
+    return relay.candidates(
+        call.service,
+        now_s=now_s,
+        without=call.list_excluded(now_s=now_s) | without,
+        homes=(call.route.regions, call.customer.regions if call.customer else ()),
+    )
+
+
 def find_placement(relay, call, candidates, *, now_s):
     """Return the placement for a call, or None if there is none."""
     if not call.size.prompt_tokens:
@@ -197,18 +220,47 @@
         placement = find_placement(relay, call, candidates, now_s=read_clock())
         if is_worthwhile(call, placement):
             return placement
-        opening_s = find_earliest_opening_s(relay, usable, now_s=read_clock())
+        opening_s = find_earliest_opening_s(relay, call, usable, now_s=read_clock())
         is_unservable = opening_s > wait_s and not call.is_begun
         if is_unservable or read_clock() - begun_s >= wait_s:
-            raise make_placement_refusal(relay, call, placement, candidates)
+            raise make_placement_refusal(
+                relay, call, placement, candidates,
+                rest_s=0.0 if usable else opening_s,
+            )  # fmt: skip
         await anyio.sleep(PLACEMENT_POLL_S)
 
 
-def find_earliest_opening_s(relay, usable, *, now_s):
-    """Return after how long the limits of some replica leave room, in seconds.
+def find_earliest_opening_s(relay, call, usable, *, now_s):
+    """Return after how long some replica takes a request of this node, in seconds.
 
-    Infinity if no replica is usable, or if this node has no share of any limit.
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    call : Call
+        The call.
+    usable : list of Candidate
+        Replicas that take work; if there are none, those that rest are considered.
+    now_s : float
+        The present time.
+
+    Returns
+    -------
+    float
+        0 if a replica takes one now; infinity if none is known to take any.
     """
+    if not usable:
+        waiting_ids = {one.id for one in list_usable(relay, call, now_s=now_s)}
+        return min(
+            (
+                relay.rests.left_s(life, now_s=now_s)
+                for life in relay.rests.list_resting(now_s=now_s)
+                if life.replica in waiting_ids
+            ),
+            default=float("inf"),
+        )
+    if not all(one.is_limited for one in usable):
+        return 0.0
     living = relay.list_alive_nodes(now_s=now_s)
     find_opening_s = make_opening_finder(relay, living, now_s=now_s)
     return min((find_opening_s(one.id) for one in usable), default=float("inf"))
@@ -237,8 +289,22 @@
     return call.is_begun or placement.is_worthwhile(find_patience_s(call))
 
 
-def make_placement_refusal(relay, call, placement, candidates):
-    """Log why a call got no placement, and return its refusal."""
+def make_placement_refusal(relay, call, placement, candidates, *, rest_s=0.0):
+    """Log why a call got no placement, and return its refusal.
+
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    call : Call
+        The call.
+    placement : Placement or None
+        The best placement, which isn't worthwhile.
+    candidates : list of Candidate
+        Replicas that the call could have been sent to.
+    rest_s : float, default=0
+        Time until the first replica has rested, if all do; infinity if none will.
+    """
     if placement is not None:
         cause = Cause.NO_ROOM
     else:
@@ -248,6 +314,8 @@
     retry_delay_s = max(DEFAULT_RETRY_DELAY_S, prefill_wait_s)
     if placement is not None and harm > placement.worth:
         retry_delay_s = max(retry_delay_s, call.route.target_latency_s)
+    if 0.0 < rest_s < float("inf"):
+        retry_delay_s = max(rest_s, PLACEMENT_POLL_S)
     relay.log.info(
         "A request could not be placed.",
         extra={"request": call.request.attempt_id, "cause": str(cause),
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -18,6 +18,7 @@
     MemoryQueue,
     PaceTable,
     PeerTable,
+    RestTable,
     order_node,
 )
 from lycheetide.httpclient import ChannelPool
@@ -46,6 +47,11 @@
     return time.monotonic()
 
 
+def make_life(entry):
+    """Return the identity of the start of a replica that an entry registers."""
+    return Life(entry.id, entry.born_ms)
+
+
 def _do_nothing(**_):
     """Do nothing; the default of callbacks until the node runs."""
 
@@ -116,6 +122,7 @@
         self.memory_queue = MemoryQueue()
         self.paces = PaceTable()
         self.limits = LimitTable()
+        self.rests = RestTable()
         self.reported_paces: tuple[tuple[str, float], ...] = ()
         self.peers = PeerTable(settings.peer_address, fleet=settings.store_address)
         self.pool = ChannelPool()
@@ -253,18 +260,27 @@
             if not self.own_starts(replica, OWN_START_RETENTION_S, now_s=now_s):
                 del self._own_starts[replica]
         self.limits.drop_outdated(self._is_registered, now_s=now_s)
+        self.rests.drop_outdated(now_s=now_s)
 
     def _is_registered(self, life):
         """Tell whether this start of a replica is registered."""
         known = self.replicas.replicas.get(life.replica)
-        return known is not None and known.entry.born_ms == life.born_ms
+        return known is not None and make_life(known.entry) == life
 
     def find_named_limit(self, replica):
         """Return the limit that a replica names; None if it names none or is gone."""
         known = self.replicas.replicas.get(replica)
         if known is None:
             return None
-        return self.limits.find(Life(replica, known.entry.born_ms))
+        return self.limits.find(make_life(known.entry))
+
+    def list_withheld(self, *, now_s):
+        """Return the ids of the replicas that this node may send nothing at present."""
+        return self._find_registered(self.rests.list_resting(now_s=now_s))
+
+    def _find_registered(self, lives):
+        """Return the ids of those starts of replicas that are registered at present."""
+        return {life.replica for life in lives if self._is_registered(life)}
 
     def list_alive_nodes(self, *, now_s):
         """Return the names of all live nodes, including this one."""
@@ -324,8 +340,16 @@
             for replica in usable
             if not self.failure_detector.is_suspect(replica.entry.id, now_s=now_s)
         ]
+        limited_ids = self._find_registered(self.limits.list_limited())
+        spared_ids = self._find_registered(self.rests.list_spared(now_s=now_s))
         return [
-            self._make_candidate(replica, ranks[replica.entry.id], now_s=now_s)
+            self._make_candidate(
+                replica,
+                ranks[replica.entry.id],
+                is_limited=replica.entry.id in limited_ids,
+                is_spared=replica.entry.id in spared_ids,
+                now_s=now_s,
+            )
             for replica in trusted or usable
         ]
 
@@ -339,13 +363,14 @@
             self._ranks = ids, rank_replicas(ids)
         return self._ranks[1]
 
-    def _make_candidate(self, replica, rank, *, now_s):
+    def _make_candidate(self, replica, rank, *, is_limited, is_spared, now_s):
         """Return a replica with its load; in a large fleet most replicas have none."""
         entry = replica.entry
         workload = self.job_table.workload(entry.id)
-        is_recovering = self.failure_detector.is_recovering(entry.id, now_s=now_s)
+        is_recovering = is_spared or self.failure_detector.is_recovering(
+            entry.id, now_s=now_s
+        )
         is_cold = replica.is_cold(now_s=now_s)
-        is_limited = self.find_named_limit(entry.id) is not None
         pace = self.paces.pace(entry.id, now_s=now_s)
         is_ordinary = pace == 1.0 and not (is_recovering or is_cold or is_limited)
         if is_ordinary and workload.is_idle(now_s=now_s):
