Send nothing more to a replica that says that it leaves

What callers would have seen: no break of this rule has been reported.

Cause: the header by which a replica says that it leaves wasn't decoded; only the registry counted, which may be late, or out.

Why this works: the node keeps the word for that start of the replica, which is then no candidate, and checks it again at the moment of sending. The next start owes nothing to the word.

--- a/lycheetide/exchange/_types.py
+++ b/lycheetide/exchange/_types.py
@@ -98,6 +98,8 @@
     rest_s : float
         Time for which the replica, which has turned the request away, wants nothing
         from this node; 0 if it asks for no rest.
+    is_leaving : bool
+        Whether the replica says that it leaves.
     headers : tuple of (bytes, bytes)
         All headers.
     """
@@ -113,6 +115,7 @@
     cold_s: float
     limit_per_s: float | None
     rest_s: float
+    is_leaving: bool
     headers: tuple[tuple[bytes, bytes], ...]
 
 
--- a/lycheetide/gossip/__init__.py
+++ b/lycheetide/gossip/__init__.py
@@ -10,7 +10,13 @@
 
 from lycheetide.gossip._delays import DelayEstimator, make_sent_ms
 from lycheetide.gossip._failure_detector import FailureDetector
-from lycheetide.gossip._jobs import START_WINDOW_S, Job, JobTable, make_job
+from lycheetide.gossip._jobs import (
+    REPLICA_RETENTION_S,
+    START_WINDOW_S,
+    Job,
+    JobTable,
+    make_job,
+)
 from lycheetide.gossip._lives import Life
 from lycheetide.gossip._memory_queue import MemoryQueue, WaitingRequest
 from lycheetide.gossip._messages import (
@@ -38,6 +44,7 @@
 __all__ = [
     "MAX_DATAGRAM_BYTES",
     "NO_LIMIT",
+    "REPLICA_RETENTION_S",
     "START_WINDOW_S",
     "Bundle",
     "DelayEstimator",
--- a/lycheetide/platform/_requests.py
+++ b/lycheetide/platform/_requests.py
@@ -24,6 +24,7 @@
 COLD_MS = b"lycheetide-cold-ms"
 LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
+LEAVING = b"server-leaving"
 
 _DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
@@ -257,6 +258,7 @@
         cold_s=_parse_number(_find_header(headers, COLD_MS)) / 1e3,
         limit_per_s=_parse_limit(headers),
         rest_s=_parse_rest_s(head),
+        is_leaving=(LEAVING, b"1") in headers,
         headers=headers,
     )
 
--- a/lycheetide/platform/tests/test_requests.py
+++ b/lycheetide/platform/tests/test_requests.py
@@ -62,3 +62,12 @@
     """Guards against a malformed time that raises, or keeps a replica out for ever."""
     head = ResponseHead(503, ((b"retry-after", value),))
     assert decode_answer(head).rest_s == 0.0
+
+
+@pytest.mark.parametrize("value", [b"", b"0", b"true", b"1, 1", b"nan"])
+def test_only_one_value_says_that_a_replica_leaves(value):
+    """Guards against a malformed header that takes a replica out."""
+    assert decode_answer(ResponseHead(200, ((b"server-leaving", b"1"),))).is_leaving
+    assert not decode_answer(
+        ResponseHead(200, ((b"server-leaving", value),))
+    ).is_leaving
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -247,6 +247,8 @@
     Cause or None
         None if it may be sent.
     """
+    if replica in relay.list_leaving():
+        return Cause.LEAVING
     if replica in relay.list_withheld(now_s=now_s):
         return Cause.RESTING
     if not may_still_send(relay, replica, now_s=now_s):
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -3,6 +3,7 @@
 import math
 
 from lycheetide.gossip import Doubted, Suspected
+from lycheetide.relay._leaving import record_leaving
 from lycheetide.relay._named_limits import record_named_limit
 from lycheetide.relay._outcomes import Cause
 from lycheetide.relay._rests import record_rest
@@ -52,6 +53,8 @@
     if not answer.is_other_replica:
         record_named_limit(relay, entry, answer, sent_s=sent_s, now_s=now_s)
         record_rest(relay, entry, answer.rest_s)
+        if answer.is_leaving:
+            record_leaving(relay, entry)
     if answer.is_unstarted and answer.at_fault:
         for known in list(relay.replicas.replicas.values()):
             if answer.at_fault in (known.entry.id, known.entry.address):
@@ -67,7 +70,7 @@
         call.helpers_refused = True
     if failure.cause is Cause.REFUSED and not failure.may_have_run:
         call.record_refusal(placement.first.id, now_s=read_clock())
-    if failure.cause in {Cause.LIMITED, Cause.RESTING}:
+    if failure.cause in {Cause.LIMITED, Cause.RESTING, Cause.LEAVING}:
         call.tried.discard(placement.first.id)
     if failure.cause is Cause.BROKEN:
         doubt(relay, placement.first.id)
--- a/lycheetide/relay/_outcomes.py
+++ b/lycheetide/relay/_outcomes.py
@@ -16,6 +16,7 @@
     NO_ROOM = "no_room"
     LIMITED = "limited"
     RESTING = "resting"
+    LEAVING = "leaving"
     REFUSED = "refused"
     OTHER_REPLICA = "other_replica"
     CONNECT_FAILED = "connect_failed"
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -10,6 +10,7 @@
 import anyio
 
 from lycheetide.gossip import (
+    REPLICA_RETENTION_S,
     DelayEstimator,
     FailureDetector,
     JobTable,
@@ -123,6 +124,7 @@
         self.paces = PaceTable()
         self.limits = LimitTable()
         self.rests = RestTable()
+        self.leaving: dict[Life, float] = {}
         self.reported_paces: tuple[tuple[str, float], ...] = ()
         self.peers = PeerTable(settings.peer_address, fleet=settings.store_address)
         self.pool = ChannelPool()
@@ -261,6 +263,12 @@
                 del self._own_starts[replica]
         self.limits.drop_outdated(self._is_registered, now_s=now_s)
         self.rests.drop_outdated(now_s=now_s)
+        # An entry that is lost in an outage of the registry may return.
+        self.leaving = {
+            life: told_s
+            for life, told_s in self.leaving.items()
+            if self._is_registered(life) or now_s - told_s < REPLICA_RETENTION_S
+        }
 
     def _is_registered(self, life):
         """Tell whether this start of a replica is registered."""
@@ -276,7 +284,12 @@
 
     def list_withheld(self, *, now_s):
         """Return the ids of the replicas that this node may send nothing at present."""
-        return self._find_registered(self.rests.list_resting(now_s=now_s))
+        resting_ids = self._find_registered(self.rests.list_resting(now_s=now_s))
+        return resting_ids | self.list_leaving()
+
+    def list_leaving(self):
+        """Return the ids of the replicas that have told this node that they leave."""
+        return self._find_registered(self.leaving)
 
     def _find_registered(self, lives):
         """Return the ids of those starts of replicas that are registered at present."""
--- a/lycheetide/relay/tests/test_rests.py
+++ b/lycheetide/relay/tests/test_rests.py
@@ -160,7 +160,7 @@
     await _ask_replica(relay, reporting, anyio.CapacityLimiter(1), {})
     assert relay.list_withheld(now_s=time.monotonic()) == {reporting.id}
     candidate = SimpleNamespace(id=reserving.id, address=reserving.address)
-    results = {}
+    results: dict[str, bool] = {}
     await _reserve(relay, candidate, "t", 1_000, results)
     assert results == {"t": False}
     assert relay.list_withheld(now_s=time.monotonic()) == {reporting.id, reserving.id}
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -73,6 +73,8 @@
         Factor by which it reports its work to take longer than stated.
     limit : str or None
         The limit that it names in its answers; None to name none.
+    is_leaving : bool
+        Whether it says in its answers that it leaves.
     rest : str or None
         The time of rest that it asks for when it refuses a request, in seconds; None
         for none.
@@ -99,6 +101,7 @@
         self.pace = 1.0
         self.limit = None
         self.rest = None
+        self.is_leaving = False
         self.adds_attempt_ids = False
         self.resets_reused_connections = False
         self._used_connections = set()
@@ -126,7 +129,8 @@
 
     def make_state_headers(self):
         """Return the headers with which it reports its state in each answer."""
-        return {} if self.limit is None else {"Server-Limit": self.limit}
+        headers = {} if self.limit is None else {"Server-Limit": self.limit}
+        return headers | ({"Server-Leaving": "1"} if self.is_leaving else {})
 
     async def _respond(self, request, stream):
         """Return the response to a request, or send it."""
