--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,7 +5,13 @@
 
 import anyio
 
-from soak.run import FAULT_COUNT, FAULT_PHASE_S, QUIET_COUNT, run_soak
+from soak.run import (
+    DEMAND_COUNT,
+    FAULT_COUNT,
+    FAULT_PHASE_S,
+    QUIET_COUNT,
+    run_soak,
+)
 
 MAX_LINES_SHOWN = 12
 
@@ -20,6 +26,7 @@
     parser.add_argument("--seconds", type=float, default=FAULT_PHASE_S)
     parser.add_argument("--faults", type=int, default=FAULT_COUNT)
     parser.add_argument("--quiets", type=int, default=QUIET_COUNT)
+    parser.add_argument("--demands", type=int, default=DEMAND_COUNT)
     parser.add_argument("--nodes", type=int, default=4)
     args = parser.parse_args()
     first = int(time.time()) if args.first is None else args.first
@@ -49,6 +56,7 @@
         count=args.faults,
         nodes=args.nodes,
         quiets=args.quiets,
+        demands=args.demands,
     )
 
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from soak.callers import SILENCE_TIMEOUT_S, find_deadline_s
+from soak.demands import check_leaving, check_limits, check_rests
 from soak.deployment import FAILURE_DOMAINS
 from soak.replicas import COLD_PER_S, PATIENT_STREAM_EVENTS, STREAM_EVENTS
 from standins.replica import RESPONSE_SEAL
@@ -87,6 +88,7 @@
         check_responses, check_executions, check_deadlines, check_forwarding,
         check_cancellation, check_cold_rate, check_unanswered,
         check_interrupted_streams, check_reservations, check_recovery,
+        check_limits, check_rests, check_leaving,
     ):  # fmt: skip
         yield from check(record)
     for line in record.own_exits:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -114,6 +114,7 @@
         self.expired_entries: set[str] = set()
         self.nodes = [self._make_node(index) for index in range(nodes)]
         self.own_exits: list[str] = []
+        self.starts: list[tuple[str, float]] = []
         self.version = 1
         self.is_closing = False
         self._stack = AsyncExitStack()
@@ -246,6 +247,7 @@
         """Start the process of a node, with its log in a file."""
         self.write_settings(node)
         node.starts += 1
+        self.starts.append((node.name, time.monotonic()))
         node.exit_expected = False
         command = [sys.executable, "-m", "lycheetide", "node", "--settings"]
         with open(self.folder / f"{node.name}.log", "ab") as log:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,8 @@
 
 import anyio
 
+from soak.demands import Demand
+
 DRAIN_LIMIT_S = 2.0
 """How long a replica that has announced its draining may still receive work."""
 MIN_DRAINING_S = 3.0
@@ -13,6 +15,9 @@
 ENTRY_RETURN_DELAY_S = 1.0
 TRUNCATED_SETTINGS = "[node]\nname = \nthis is no"
 
+NAMED_LIMITS = ("1.5", "0.4", "4", "0", "12")
+RESTS = ("3", "4.5", "0.5")
+
 SETTINGS_READ_TIMEOUT_S = 8.0
 """Maximum wait until a process has read its settings; a frozen one takes longer."""
 
@@ -67,6 +72,8 @@
         Times when the second key was revoked.
     closed : list of [str, float, float]
         Failure domain, start and end of each evacuation.
+    limits, left : list of Demand
+        Periods in which a replica named a limit, and in which it said that it leaves.
     """
 
     def __init__(self, deployment):
@@ -75,6 +82,13 @@
         self.drained = []
         self.revoked = []
         self.closed = []
+        self.limits = []
+        self.left = []
+
+    @property
+    def starts(self):
+        """Name and time of each start of a node."""
+        return self.deployment.starts
 
     async def inject(self, fault):
         """Inject one fault and wait until it has ended."""
@@ -256,7 +270,7 @@
         deployment = self.deployment
         replica, _ = self._target_replica(fault)
         leaving = [state for state in deployment.states.values() if state != "ready"]
-        if deployment.states[replica.name] != "ready" or len(leaving) > 1:
+        if self._is_busy(replica) or len(leaving) > 1:
             return []
         deployment.states[replica.name] = "draining"
         deployment.write_registry_entries()
@@ -267,6 +281,61 @@
         deployment.states[replica.name] = "ready"
         return []
 
+    def _is_busy(self, replica):
+        """Tell whether a replica is draining, or makes a demand already."""
+        is_ready = self.deployment.states[replica.name] == "ready"
+        is_quiet = replica.limit is None and replica.rest is None
+        return not is_ready or not is_quiet or replica.is_leaving
+
+    async def _limit(self, fault):
+        """Make a replica name a limit in its answers for a while."""
+        replica, _ = self._target_replica(fault)
+        if self._is_busy(replica):
+            return []
+        replica.limit = NAMED_LIMITS[(fault.target // 64) % len(NAMED_LIMITS)]
+        started_s = time.monotonic()
+        await anyio.sleep(fault.duration_s)
+        row = Demand(
+            replica.name, started_s, time.monotonic(), limit_per_s=float(replica.limit)
+        )
+        self.limits.append(row)
+        replica.limit = None
+        return []
+
+    async def _rest(self, fault):
+        """Make a replica turn all requests away and ask for rest."""
+        replica, _ = self._target_replica(fault)
+        if self._is_busy(replica):
+            return []
+        replica.rest = RESTS[(fault.target // 64) % len(RESTS)]
+        replica.default_step = "refuse"
+        await anyio.sleep(fault.duration_s)
+        replica.default_step = ""
+        replica.rest = None
+        return []
+
+    async def _leave(self, fault):
+        """Make a replica say that it leaves, with or without the registry saying so.
+
+        It returns as a new incarnation.
+        """
+        deployment = self.deployment
+        replica, _ = self._target_replica(fault)
+        leaving = [one for one in deployment.replicas if one.is_leaving]
+        if self._is_busy(replica) or leaving:
+            return []
+        replica.is_leaving = True
+        started_s = time.monotonic()
+        if (fault.target // 64) % 2:
+            deployment.states[replica.name] = "draining"
+            deployment.write_registry_entries()
+        await anyio.sleep(MIN_DRAINING_S + fault.duration_s)
+        self.left.append(Demand(replica.name, started_s, time.monotonic()))
+        deployment.born_ms[replica.name] += 10_000
+        replica.is_leaving = False
+        deployment.states[replica.name] = "ready"
+        return []
+
     async def _domain_out(self, fault):
         """Evacuate a failure domain for a while."""
         domain = ("cork-a", "cork-b", "cork-c")[fault.target % 3]
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from soak.demands import Turned
 from standins.http import Response
 from standins.replica import Replica
 
@@ -29,6 +30,8 @@
         Start and end of each period when it sent nothing.
     written_s : list of float
         Times when it wrote to a connection.
+    turned : list of Turned
+        Requests that it turned away with a request for rest.
     ends : dict of str to float
         Time when its work on each attempt ended, by attempt id.
     """
@@ -42,6 +45,7 @@
         self.written_s = []
         self.expires_s = {}
         self.ends = {}
+        self.turned = []
         self.kv_tokens = 100_000
 
     async def answer(self, request, stream):
@@ -57,7 +61,12 @@
                     headers.get("lycheetide-tenant", ""),
                 )
             )
-        return await super().answer(request, stream)
+        answer = await super().answer(request, stream)
+        if answer is not None and "Retry-After" in answer.headers:
+            attempt = request.headers.get("lycheetide-attempt-id", "")
+            rest_s = float(answer.headers["Retry-After"])
+            self.turned.append(Turned(time.monotonic(), attempt, rest_s))
+        return answer
 
     async def _run(self, request, stream, step, attempt):
         """Run a request and record its end."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,11 +11,12 @@
 from soak.checks import RunRecord, find_violations
 from soak.deployment import PATIENT_TIMEOUT_MS, STOP_NOTICE_S, STOP_S, Deployment
 from soak.faults import FaultInjector
-from soak.schedule import generate_faults, generate_silences
+from soak.schedule import generate_demands, generate_faults, generate_silences
 
 FAULT_PHASE_S = 10.0
 FAULT_COUNT = 14
 QUIET_COUNT = 6
+DEMAND_COUNT = 6
 RECOVERY_S = 6.0
 """Time after the last fault from which on every attempt must succeed."""
 CALM_S = 3.0
@@ -55,7 +56,7 @@
 
 
 async def run_soak(
-    seed, *, seconds=FAULT_PHASE_S, count=FAULT_COUNT, nodes=4, quiets=0
+    seed, *, seconds=FAULT_PHASE_S, count=FAULT_COUNT, nodes=4, quiets=0, demands=0
 ):
     """Execute one run and check its guarantees.
 
@@ -72,12 +73,16 @@
     quiets : int
         Number of silences of replicas in addition to the other faults, without the
         repeated ones.
+    demands : int
+        Number of demands that replicas make in their answers, likewise.
     """
     schedule = list(generate_faults(seed, seconds=seconds, count=count))
+    schedule += generate_silences(seed, seconds=seconds, count=quiets)
+    schedule += generate_demands(seed, seconds=seconds, count=demands)
+    if quiets or demands:
+        schedule.sort(key=lambda fault: fault.at_s)
     kinds, stop_s = CALL_KINDS, STOP_S
     if quiets:
-        schedule += generate_silences(seed, seconds=seconds, count=quiets)
-        schedule.sort(key=lambda fault: fault.at_s)
         kinds, stop_s = (
             CALL_KINDS_WITH_PATIENT,
             STOP_NOTICE_S + PATIENT_TIMEOUT_MS / 1e3 + 0.5,
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -10,6 +10,11 @@
 STORE_FAULTS = ("store_busy", "store_silent", "store_slow", "store_reset",
                 "store_some", "store_compact")  # fmt: skip
 FLEET_FAULTS = ("configure", "revoke", "domain_out", "kill_all", "pause_most")
+DEMAND_FAULTS = ("limit", "limit", "rest", "leave")
+DEMAND_RANGE_S = (2.0, 9.0)
+"""From a short need to one that lasts longer than it takes for all rules to apply."""
+DEMAND_REPEAT_SHARE = 0.5
+"""Fraction of the demands that another replica makes at nearly the same time."""
 SILENCE_FAULTS = ("quiet_one", "quiet_some", "quiet_all")
 SILENCE_RANGE_S = (0.4, 1.75)
 """From a gap that nodes always wait out to just below the timeout of callers."""
@@ -96,3 +101,26 @@
             beside_s = at_s + rng.uniform(0.0, 2.5)
             faults.append(Fault(beside_s, "configure", 0, 0.0))
     return faults
+
+
+def generate_demands(seed, *, seconds, count):
+    """Return demands that replicas make in their answers, some at the same time.
+
+    They use a separate random generator, as silences do.
+
+    Parameters
+    ----------
+    seed, seconds, count
+        As in ``generate_faults``.
+    """
+    rng = random.Random(f"{seed}/demands")
+    faults = []
+    for _ in range(count):
+        at_s = rng.uniform(0.0, seconds)
+        kind = rng.choice(DEMAND_FAULTS)
+        duration_s = rng.uniform(*DEMAND_RANGE_S)
+        faults.append(Fault(at_s, kind, rng.randrange(1 << 16), duration_s))
+        if rng.random() < DEMAND_REPEAT_SHARE:
+            beside_s = at_s + rng.uniform(0.0, 0.5)
+            faults.append(Fault(beside_s, kind, rng.randrange(1 << 16), duration_s))
+    return faults
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -6,6 +6,7 @@
 
 from soak.callers import Attempt
 from soak.checks import STREAM_EVENTS, RunRecord, find_violations
+from soak.demands import Demand, Turned
 from soak.faults import Disturbance
 from soak.replicas import RecordingReplica
 from soak.schedule import SILENCE_RANGE_S, generate_faults, generate_silences
@@ -31,7 +32,15 @@
 
 
 def make_record(*attempts, replica=None, replicas=(), own_exits=(), **fault_lists):
-    faults = SimpleNamespace(disturbances=[], drained=[], revoked=[], closed=[])
+    faults = SimpleNamespace(
+        disturbances=[],
+        drained=[],
+        revoked=[],
+        closed=[],
+        limits=[],
+        left=[],
+        starts=[],
+    )
     for name, value in fault_lists.items():
         setattr(faults, name, value)
     replicas = list(replicas) or [replica or RecordingReplica("r-0")]
@@ -296,3 +305,77 @@
     assert all(
         SILENCE_RANGE_S[0] <= one.duration_s <= SILENCE_RANGE_S[1] for one in silences
     )
+
+
+def make_told(header, *, node="entry-0"):
+    """Return an attempt whose answer told its node something."""
+    return make_attempt(
+        node=node, headers=(*HEADERS, (header, "1")), started_s=10.0, ended_s=10.2
+    )
+
+
+def make_later(count, *, node="entry-0", since_s=14.0):
+    """Return later attempts through a node, a tenth of a second apart."""
+    return [
+        make_attempt(
+            id=f"b{number}",
+            node=node,
+            started_s=since_s + number / 10,
+            ended_s=since_s + number / 10 + 0.05,
+            headers=(("lycheetide-attempt-id", f"b{number}"), HEADERS[1]),
+            body=f"r-0 answers b{number}".encode(),
+        )
+        for number in range(count)
+    ]
+
+
+def find_demand_rules(attempts, *, turned=(), **fault_lists):
+    """Return the rules that requests to one replica break, by their arrivals."""
+    replica = make_replica(*((one.started_s, one.id) for one in attempts))
+    replica.turned = list(turned)
+    return find_rules(make_record(*attempts, replica=replica, **fault_lists))
+
+
+@pytest.mark.parametrize(
+    ("count", "fault_lists", "rules"),
+    [
+        (15, {}, {"LIMIT"}),
+        (14, {}, set()),
+        (15, {"starts": [("entry-0", 12.0)]}, set()),
+        (15, {"disturbances": [Disturbance("node entry-0", "pause", 11, 12)]}, set()),
+        (15, {"starts": [("entry-1", 12.0)]}, {"LIMIT"}),
+    ],
+)
+def test_requests_beyond_a_named_limit_are_reported(count, fault_lists, rules):
+    attempts = [make_told("server-limit"), *make_later(count)]
+    limits = [Demand("r-0", 9.9, 30.0, limit_per_s=1.5)]
+    assert find_demand_rules(attempts, limits=limits, **fault_lists) == rules
+
+
+def test_requests_of_nodes_that_were_not_told_of_a_limit_are_allowed():
+    attempts = [make_told("server-limit"), *make_later(20, node="entry-1")]
+    limits = [Demand("r-0", 9.9, 30.0, limit_per_s=1.5)]
+    assert find_demand_rules(attempts, limits=limits) == set()
+
+
+@pytest.mark.parametrize(("count", "rules"), [(2, set()), (3, {"BUDGET"})])
+def test_requests_within_the_rest_that_a_replica_asked_for_are_reported(count, rules):
+    attempts = [make_attempt(), *make_later(count, since_s=12.0)]
+    turned = [Turned(10.1, "a1", 3.0)]
+    assert find_demand_rules(attempts, turned=turned) == rules
+    others = [make_attempt(), *make_later(count, since_s=12.0, node="entry-1")]
+    assert find_demand_rules(others, turned=turned) == set()
+
+
+@pytest.mark.parametrize(
+    ("since_s", "starts", "rules"),
+    [
+        (12.1, [], set()),
+        (12.3, [], {"DRAIN"}),
+        (12.3, [("entry-0", 11.0)], set()),
+    ],
+)
+def test_requests_to_a_replica_that_said_it_leaves_are_reported(since_s, starts, rules):
+    attempts = [make_told("server-leaving"), *make_later(1, since_s=since_s)]
+    left = [Demand("r-0", 9.9, 30.0)]
+    assert find_demand_rules(attempts, left=left, starts=starts) == rules
