Make the soak's demands long and its load high enough to find excesses

Change: demands last 4 to 11 s, limits are lower, times of rest outlast the tolerance, and while faults are injected as many callers again send small calls.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,8 @@
          "book", "book", "book", "second_key")  # fmt: skip
 CALL_KINDS_WITH_PATIENT = CALL_KINDS + ("patient",) * 12
 """Adds streams long enough to meet two silences, with a longer deadline."""
+SMALL_CALL_KINDS = tuple(kind for kind in CALL_KINDS if kind != "huge")
+"""Kinds that need no memory of several replicas."""
 DEADLINE_OVERRIDES_S = {"patient": PATIENT_TIMEOUT_MS / 1e3}
 """Deadlines of the kinds that don't use ``DEADLINE_S``."""
 SILENCE_TIMEOUT_S = {"stream": 2.0, "once": 2.0, "patient": 2.0, "huge": 10.0}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,8 +15,8 @@
 ENTRY_RETURN_DELAY_S = 1.0
 TRUNCATED_SETTINGS = "[node]\nname = \nthis is no"
 
-NAMED_LIMITS = ("1.5", "0.4", "4", "0", "12")
-RESTS = ("3", "4.5", "0.5")
+NAMED_LIMITS = ("1.5", "0.4", "1", "0", "4")
+RESTS = ("3", "4.5", "6")
 
 SETTINGS_READ_TIMEOUT_S = 8.0
 """Maximum wait until a process has read its settings; a frozen one takes longer."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,13 @@
 import anyio
 
 from lycheetide.tasks import TICK_S, StallDetector
-from soak.callers import CALL_KINDS, CALL_KINDS_WITH_PATIENT, CALLER_COUNT, run_caller
+from soak.callers import (
+    CALL_KINDS,
+    CALL_KINDS_WITH_PATIENT,
+    CALLER_COUNT,
+    SMALL_CALL_KINDS,
+    run_caller,
+)
 from soak.checks import RunRecord, find_violations
 from soak.deployment import PATIENT_TIMEOUT_MS, STOP_NOTICE_S, STOP_S, Deployment
 from soak.faults import FaultInjector
@@ -89,14 +95,25 @@
         )
     attempts: list = []
     stalls: list = []
+
+    def start_callers(group, names, kinds):
+        for name in names:
+            rng = random.Random(f"{seed}/{name}")
+            group.start_soon(run_caller, deployment, attempts, rng, name, kinds)
+
     async with Deployment(nodes=nodes, stop_s=stop_s) as deployment:
         faults = FaultInjector(deployment)
         async with anyio.create_task_group() as callers:
             callers.start_soon(_record_stalls, stalls)
-            for name in range(CALLER_COUNT):
-                rng = random.Random(f"{seed}/{name}")
-                callers.start_soon(run_caller, deployment, attempts, rng, name, kinds)
-            await _inject_faults(faults, schedule)
+            start_callers(callers, range(CALLER_COUNT), kinds)
+            async with anyio.create_task_group() as more_callers:
+                if demands:
+                    # Without more calls, few replicas get more than they ask for. They
+                    # end with the faults, as the fleet isn't sized for them.
+                    names = range(CALLER_COUNT, 2 * CALLER_COUNT)
+                    start_callers(more_callers, names, SMALL_CALL_KINDS)
+                await _inject_faults(faults, schedule)
+                more_callers.cancel_scope.cancel()
             await anyio.sleep(RECOVERY_S)
             calm_s = time.monotonic()
             await anyio.sleep(CALM_S)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -11,7 +11,7 @@
                 "store_some", "store_compact")  # fmt: skip
 FLEET_FAULTS = ("configure", "revoke", "domain_out", "kill_all", "pause_most")
 DEMAND_FAULTS = ("limit", "limit", "rest", "leave")
-DEMAND_RANGE_S = (2.0, 9.0)
+DEMAND_RANGE_S = (4.0, 11.0)
 """From a short need to one that lasts longer than it takes for all rules to apply."""
 DEMAND_REPEAT_SHARE = 0.5
 """Fraction of the demands that another replica makes at nearly the same time."""
