Let only the sender's hub pass on what is new of a limit

Cause: in a large fleet every node that heard something new of a limit from its hub would have sent a heartbeat at once, and each hub would have repeated to all nodes what another hub had told all nodes already. Change: the hub of the sender's failure domain passes it on, nobody else. The order of statements is a property of the statement.

--- a/lycheetide/gossip/_named_limits.py
+++ b/lycheetide/gossip/_named_limits.py
@@ -44,6 +44,11 @@
     version: int
     heard_s: float
 
+    @property
+    def order_key(self):
+        """The sort key of statements: of one version, the lower limit is the later."""
+        return self.version, -self.limit_per_s
+
     @property
     def is_in_force(self):
         """Whether the replica names a limit."""
@@ -104,9 +109,6 @@
     def merge(self, report, *, now_s):
         """Record what another node reports.
 
-        Of two statements with the same version the lower limit is used, on which all
-        nodes agree.
-
         Parameters
         ----------
         report : LimitReport
@@ -122,17 +124,10 @@
         life = Life(report.replica, report.born_ms)
         heard = decode_report(report, now_s=now_s)
         known = self._limits.get(life) or NamedLimit(NO_LIMIT, 0, float("-inf"))
-        is_same = (heard.version, heard.limit_per_s) == (
-            known.version,
-            known.limit_per_s,
-        )
-        if is_same:
+        if heard.order_key == known.order_key:
             is_newer = heard.heard_s - known.heard_s > MIN_REFRESH_S
         else:
-            is_newer = (heard.version, -heard.limit_per_s) > (
-                known.version,
-                -known.limit_per_s,
-            )
+            is_newer = heard.order_key > known.order_key
         if not is_newer:
             return False
         self._limits[life] = heard
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -381,7 +381,7 @@
             relay.failure_detector.note_peer_report(replica, now_s=now_s)
         for replica, pace_hundredths in heartbeat.paces:
             relay.paces.note(replica, pace_hundredths / 100, now_s=now_s)
-        merge_limits(relay, heartbeat.limits, now_s=now_s)
+        merge_limits(relay, heartbeat, now_s=now_s)
         for address in heartbeat.peers:
             relay.peers.add_address(address, now_s=now_s)
         record_outage_end(relay, heartbeat.returned_age_s, now_s=now_s)
--- a/lycheetide/relay/_named_limits.py
+++ b/lycheetide/relay/_named_limits.py
@@ -3,7 +3,7 @@
 from lycheetide.gossip import NO_LIMIT
 from lycheetide.placement import make_step_counter, share_named_limit
 from lycheetide.relay._broadcast import is_large_fleet
-from lycheetide.relay._roles import is_hub
+from lycheetide.relay._roles import find_hubs, is_hub
 from lycheetide.relay._state import make_life
 
 
@@ -29,11 +29,20 @@
     announce_limits(relay, now_s=now_s)
 
 
-def merge_limits(relay, reports, *, now_s):
-    """Record what another node reports of the limits that replicas name."""
-    has_news = [relay.limits.merge(report, now_s=now_s) for report in reports]
-    if any(has_news) and is_large_fleet(relay, now_s=now_s):
-        announce_limits(relay, now_s=now_s)
+def merge_limits(relay, heartbeat, *, now_s):
+    """Record what another node reports of the limits that replicas name.
+
+    In a large fleet the hub of a failure domain passes on what is new. What another hub
+    reports has reached all nodes already.
+    """
+    has_news = [relay.limits.merge(report, now_s=now_s) for report in heartbeat.limits]
+    if not any(has_news) or not is_large_fleet(relay, now_s=now_s):
+        return
+    hubs = find_hubs(relay, now_s=now_s)
+    is_own_hub = hubs.get(relay.settings.failure_domain) is None
+    others = {hub.address for hub in hubs.values() if hub is not None}
+    if is_own_hub and heartbeat.address not in others:
+        relay.trigger_heartbeat(to_all=True)
 
 
 def announce_limits(relay, *, now_s):
--- a/lycheetide/relay/tests/test_named_limits.py
+++ b/lycheetide/relay/tests/test_named_limits.py
@@ -1,12 +1,15 @@
 """All nodes together respect the limit that a replica names in its answers."""
 
 import time
+from dataclasses import replace
 
 import pytest
 
-from lycheetide.gossip import NO_LIMIT, Life, encode_message
+from lycheetide.gossip import NO_LIMIT, Heartbeat, Life, LimitReport, encode_message
 from lycheetide.gossip._messages import MAX_DATAGRAM_BYTES
 from lycheetide.relay import _messaging
+from lycheetide.relay._named_limits import merge_limits
+from lycheetide.relay._roles import is_hub
 from lycheetide.relay._selection import list_candidates
 from lycheetide.relay.tests.test_cold_limits import make_lookup, wait_for_peers
 from standins.large import make_large_relay
@@ -124,6 +127,48 @@
     assert {one.id: one.may_help for one in candidates} == {"r-0": False, "r-1": True}
 
 
+def make_large_fleet_messenger(monkeypatch, *, is_own_hub):
+    """Return the messenger of a node in a large fleet, and the heartbeats it sends."""
+    monkeypatch.setattr(_messaging, "make_sender", lambda _: None)
+    relay = make_large_relay(30, 2)
+    relay.settings = replace(relay.settings, link_mbps=500.0)
+    now_s = time.monotonic()
+    if not is_own_hub:
+        hub = Heartbeat(
+            "", "front-99.1.1", "10.0.9.9:7", "zone-0", 1, 1, 0.0, link_mbps=1_000
+        )
+        relay.peers.hear(hub, now_s=now_s)
+    assert is_hub(relay, now_s=now_s) == is_own_hub
+    sent = []
+    relay.trigger_heartbeat = lambda **options: sent.append(options)
+    return _messaging.PeerMessenger(relay, None), sent
+
+
+@pytest.mark.parametrize(
+    ("is_own_hub", "sender_mbps", "sent"),
+    [(True, 0, [{"to_all": True}]), (True, 1_000, []), (False, 0, [])],
+)
+def test_only_the_hub_of_the_sender_passes_on_what_is_new_of_a_limit(
+    monkeypatch, is_own_hub, sender_mbps, sent
+):
+    """Guards against a large fleet in which all nodes repeat the same news at once."""
+    messenger, triggered = make_large_fleet_messenger(
+        monkeypatch, is_own_hub=is_own_hub
+    )
+    (replica, *_) = messenger.relay.replicas.replicas
+    report = LimitReport(replica, 0, 1_500, 1, 10)
+    heartbeat = Heartbeat(
+        "", "front-98.1.1", "10.0.9.8:7", "zone-1", 1, 1, 0.0,
+        link_mbps=sender_mbps, limits=(report,),
+    )  # fmt: skip
+    now_s = time.monotonic()
+    messenger.relay.peers.hear(heartbeat, now_s=now_s)
+    for _ in range(2):
+        merge_limits(messenger.relay, heartbeat, now_s=now_s)
+    assert triggered == sent
+    assert messenger.relay.find_named_limit(replica).limit_per_s == 1.5
+
+
 def test_a_heartbeat_with_many_limits_fits_a_datagram(monkeypatch):
     """Guards against heartbeats that are lost when all replicas name a limit."""
     monkeypatch.setattr(_messaging, "make_sender", lambda _: None)
