Close a connection that was opened for a request that isn't sent

Cause: a request that is held back at the moment of sending returned its new connection to the pool. A pooled connection that has carried no request counts as a new one: if the replica closes it while idle, the next request on it is not sent again on another, as it would be on a kept one. Change: it is closed unless it has carried a request before.

--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -206,7 +206,11 @@
             relay.record_placement_ended(first.id)
         held_for = find_hold_cause(relay, first.id, now_s=read_clock())
         if held_for is not None:
-            await return_channel(relay, call, channel)
+            # An unused connection in the pool would count as a new one.
+            if channel.request_count > 0:
+                await return_channel(relay, call, channel)
+            else:
+                await channel.aclose()
             raise AttemptFailed(held_for, "not sent", may_have_run=call.may_have_run)
         if not is_counted:
             # Counted only now: an unreachable replica must not use up an attempt.
--- a/lycheetide/relay/tests/test_announced_leaving.py
+++ b/lycheetide/relay/tests/test_announced_leaving.py
@@ -7,6 +7,7 @@
 from lycheetide.relay._leaving import record_leaving
 from lycheetide.relay._selection import list_candidates
 from lycheetide.relay.tests.test_cold_limits import make_lookup, wait_for_peers
+from lycheetide.relay.tests.test_rests import find_entry
 from standins.relay_deployment import RelayDeployment
 
 pytestmark = pytest.mark.anyio
@@ -19,11 +20,6 @@
     return "asyncio"
 
 
-def find_entry(relay, replica):
-    """Return the registry entry of a replica."""
-    return relay.replicas.replicas[replica].entry
-
-
 async def test_a_replica_that_says_it_leaves_gets_nothing_after_the_drain_time():
     """Guards against nodes that believe only the registry that a replica leaves.
 
--- a/lycheetide/relay/tests/test_rests.py
+++ b/lycheetide/relay/tests/test_rests.py
@@ -79,9 +79,11 @@
         relay.pool.open = open_late
         response = await fleet.book()
         counts = relay.counters.counts
+        idle = sum(len(channels) for channels in relay.pool._idle.values())
     assert response.status_code == 200
     assert len(fleet.received()) == 1
     assert counts["attempts_failed.resting"] == 1
+    assert idle == 1
 
 
 async def test_callers_are_refused_at_once_if_all_replicas_rest():
