Let no late answer to another attempt end a limit

Cause: a replica's extra answer, which arrives where the next one is due, was taken for its present word: begun before the need, it names no limit and would have ended one. Found by reading. Change: an answer to another attempt counts as one to a request whose time isn't known, so it may name a limit but not end one. Result: test_an_answer_to_another_attempt_does_not_end_a_limit fails without the change and passes with it.

--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -153,6 +153,9 @@
     whole = False
     try:
         answer = relay.adapter.decode_answer(head)
+        if answer.attempt_id != call.request.attempt_id:
+            # A late answer to some earlier request, of which the time isn't known.
+            sent_s = float("-inf")
         record_response(relay, entry, answer, sent_s=sent_s)
         check_answer(call, answer)
         attempt = Attempt(channel, answer, placement)
--- a/lycheetide/relay/tests/test_named_limits.py
+++ b/lycheetide/relay/tests/test_named_limits.py
@@ -99,6 +99,21 @@
     assert len(fleet.received()) == 1
 
 
+async def test_an_answer_to_another_attempt_does_not_end_a_limit():
+    """Guards against a late answer, from before the need, that ends a limit."""
+    async with RelayDeployment(replicas=1) as fleet:
+        (relay,) = fleet.relays
+        (replica,) = fleet.replicas
+        replica.limit = "50"
+        assert (await fleet.look()).status_code == 200
+        replica.limit = None
+        replica.next_steps = ["crossed"]
+        assert (await fleet.look()).status_code == 502
+        assert relay.find_named_limit("r-0") is not None
+        assert (await fleet.look()).status_code == 200
+        assert relay.find_named_limit("r-0") is None
+
+
 async def test_a_node_that_hears_of_a_limit_from_a_peer_keeps_it_and_its_end():
     """Guards against nodes that each learn of a limit by exceeding it."""
     async with RelayDeployment(relays=2, replicas=1) as fleet:
