Learn soon that a replica has stopped naming a low limit

The log shows that a replica which had named 0 a second, and had stopped at 8 s before at most, was still held to it by all nodes; a limited replica holds no memory for others' prompts, and five replicas don't do for what six were sized for.

Cause: at a limit near 0 one request is left each 13 s, at one node, and only if that node finds the replica the best place for a request just then; others rank higher for most. Change: a limit under a third counts as one request in 4 s (5 are allowed there beyond any limit), and a replica of which nothing was heard for 4 s is preferred for the first attempt of one short request.

--- a/lycheetide/placement/_named_limits.py
+++ b/lycheetide/placement/_named_limits.py
@@ -15,9 +15,9 @@
 SAFETY_FACTOR = 0.75
 """Fraction of the limit that is used. Two groups of nodes that don't know each other
 send at most one and a half times the limit."""
-MIN_LIMIT_PER_S = 0.1
-"""A lower limit counts as this one. Without any request, no node would learn that the
-replica has stopped naming it."""
+MIN_LIMIT_PER_S = 1 / 3
+"""A lower limit counts as this one, one request in the shortest window. Without any
+request, no node would learn that the replica has stopped naming it."""
 MIN_ROTATION_S = 5.0
 """Shortest time without an answer after which the shares move on to the next nodes on
 the ring. The nodes that have them may have no callers."""
--- a/lycheetide/relay/_named_limits.py
+++ b/lycheetide/relay/_named_limits.py
@@ -6,6 +6,10 @@
 from lycheetide.relay._roles import find_hubs, is_hub
 from lycheetide.relay._state import make_life
 
+CONFIRMATION_INTERVAL_S = 4.0
+"""Age of its latest answer after which a replica that names a limit is preferred for
+one request: it may have stopped naming one, and other replicas may rank higher."""
+
 
 def record_named_limit(relay, entry, answer, *, sent_s, now_s):
     """Record the limit that a replica names in an answer, or that it names none.
@@ -51,6 +55,26 @@
     relay.trigger_heartbeat(to_all=is_small_fleet or is_hub(relay, now_s=now_s))
 
 
+def list_unconfirmed(relay, candidates, *, now_s):
+    """Return the candidates whose limit no answer has confirmed for a while.
+
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    candidates : list of Candidate
+        Replicas that this node may send a request to.
+    now_s : float
+        The present time.
+    """
+    return [
+        one
+        for one in candidates
+        if one.is_limited
+        and now_s - relay.find_named_limit(one.id).heard_s > CONFIRMATION_INTERVAL_S
+    ]
+
+
 def make_opening_finder(relay, living, *, now_s):
     """Return a function that finds when a limit leaves room for one more request.
 
--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -5,8 +5,10 @@
 from lycheetide.gossip import START_WINDOW_S
 from lycheetide.placement import (
     MAX_HELPERS,
+    SHORT_PREFILL_S,
     Arrivals,
     caller_patience_s,
+    estimate_prefill_s,
     estimate_unknown_requests,
     may_send,
     place_plain_request,
@@ -14,7 +16,7 @@
     share_cold_limits,
 )
 from lycheetide.relay._broadcast import estimate_propagation_s
-from lycheetide.relay._named_limits import make_opening_finder
+from lycheetide.relay._named_limits import list_unconfirmed, make_opening_finder
 from lycheetide.relay._outcomes import Cause, Refusal
 from lycheetide.relay._state import read_clock
 from lycheetide.routes import DEFAULT_ENGINE
@@ -146,7 +148,23 @@
 
 
 def find_placement(relay, call, candidates, *, now_s):
-    """Return the placement for a call, or None if there is none."""
+    """Return the placement for a call, or None if there is none.
+
+    The first attempt of a short request goes to a replica of which it isn't known
+    whether it still names its limit, if there is one.
+    """
+    engine = call.service.engine or DEFAULT_ENGINE
+    is_short = estimate_prefill_s(engine, call.size.prompt_tokens) <= SHORT_PREFILL_S
+    unconfirmed = list_unconfirmed(relay, candidates, now_s=now_s)
+    if unconfirmed and is_short and call.sent == 0:
+        placement = find_best_placement(relay, call, unconfirmed, now_s=now_s)
+        if is_worthwhile(call, placement):
+            return placement
+    return find_best_placement(relay, call, candidates, now_s=now_s)
+
+
+def find_best_placement(relay, call, candidates, *, now_s):
+    """Return the placement for a call by the load of the candidates, or None."""
     if not call.size.prompt_tokens:
         return place_plain_request(candidates)
     engine = call.service.engine or DEFAULT_ENGINE
--- a/lycheetide/relay/tests/test_named_limits.py
+++ b/lycheetide/relay/tests/test_named_limits.py
@@ -3,10 +3,12 @@
 import time
 from dataclasses import replace
 
+import anyio
 import pytest
 
 from lycheetide.gossip import NO_LIMIT, Heartbeat, Life, LimitReport, encode_message
 from lycheetide.gossip._messages import MAX_DATAGRAM_BYTES
+from lycheetide.placement import rank_replicas
 from lycheetide.relay import _messaging
 from lycheetide.relay._named_limits import merge_limits
 from lycheetide.relay._roles import is_hub
@@ -20,6 +22,8 @@
 WINDOW_S = 4.0
 SETTLING_S = 3.0
 """Time after which the limit binds all nodes that were told."""
+KNOWN_WITHIN_S = 10.0
+"""Time within which all nodes must know that a replica names no limit any more."""
 
 
 @pytest.fixture
@@ -132,6 +136,30 @@
         await fleet.wait_for(lambda: not first.find_named_limit("r-0"), timeout_s=0.5)
 
 
+async def test_the_end_of_a_low_limit_is_known_soon():
+    """Guards against a replica that stays unused when its need is over.
+
+    Another replica ranks higher for all prompts, so nothing would be sent to it.
+    """
+    async with RelayDeployment(relays=3, replicas=2) as fleet:
+        await wait_for_peers(fleet)
+        ranks = rank_replicas([one.name for one in fleet.replicas])
+        replica = max(fleet.replicas, key=lambda one: ranks[one.name])
+        now_s = time.monotonic()
+        for relay in fleet.relays:
+            life = find_life(relay, replica.name)
+            relay.limits.hear(life, 0.0, sent_s=now_s, now_s=now_s)
+
+        def is_limited():
+            return any(relay.find_named_limit(replica.name) for relay in fleet.relays)
+
+        while is_limited() and time.monotonic() - now_s < KNOWN_WITHIN_S:
+            for number in range(len(fleet.relays)):
+                assert (await fleet.stream(relay=number)).status_code == 200
+            await anyio.sleep(0.3)
+        assert not is_limited()
+
+
 async def test_a_limited_replica_reads_no_part_of_another_replicas_prompt():
     async with RelayDeployment(replicas=2) as fleet:
         (relay,) = fleet.relays
