Tell a node's own evidence of a replica from that of its peers

A failed attempt's line joined both in one age, and didn't say whether its connection was new, so the hypotheses on nodes that reach no replica couldn't be told apart. Now the line has three fields for one, and a counter holds failed attempts at replicas that have just answered a peer. Tests of relay, gossip, httpclient and platform pass.

--- a/lycheetide/gossip/__init__.py
+++ b/lycheetide/gossip/__init__.py
@@ -9,7 +9,7 @@
 """
 
 from lycheetide.gossip._delays import DelayEstimator, make_sent_ms
-from lycheetide.gossip._failure_detector import FailureDetector
+from lycheetide.gossip._failure_detector import PEER_REPORT_AGE_S, FailureDetector
 from lycheetide.gossip._jobs import (
     REPLICA_RETENTION_S,
     START_WINDOW_S,
@@ -44,6 +44,7 @@
 __all__ = [
     "MAX_DATAGRAM_BYTES",
     "NO_LIMIT",
+    "PEER_REPORT_AGE_S",
     "REPLICA_RETENTION_S",
     "START_WINDOW_S",
     "Bundle",
--- a/lycheetide/gossip/_failure_detector.py
+++ b/lycheetide/gossip/_failure_detector.py
@@ -120,9 +120,13 @@
         """Return the time of a replica's last answer to this node."""
         return self._answered_s.get(replica, NEVER_S)
 
+    def last_report_s(self, replica):
+        """Return when a peer last reported that a replica answered it."""
+        return self._reported_s.get(replica, NEVER_S)
+
     def last_heard_s(self, replica):
         """Return when a replica was last known to be alive, also through peers."""
-        return max(self.last_answer_s(replica), self._reported_s.get(replica, NEVER_S))
+        return max(self.last_answer_s(replica), self.last_report_s(replica))
 
     def last_failure_s(self, replica):
         """Return the time of a replica's last failure that is known here."""
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -233,7 +233,7 @@
             await channel.aclose()
             if not isinstance(error, ChannelError):
                 raise
-            failure = make_failure(error, is_written=channel.is_written)
+            failure = make_failure(error, channel)
             call.may_have_run = call.may_have_run or failure.may_have_run
             if not is_kept or error.is_silent or not spend_retry(relay, call):
                 raise failure from error
@@ -285,10 +285,14 @@
         ) from error
 
 
-def make_failure(broken, *, is_written):
+def make_failure(broken, channel):
     """Return the failure of an attempt whose connection broke."""
-    cause = Cause.SILENT if broken.is_silent else Cause.BROKEN
-    return AttemptFailed(cause, str(broken), may_have_run=is_written)
+    return AttemptFailed(
+        Cause.SILENT if broken.is_silent else Cause.BROKEN,
+        str(broken),
+        may_have_run=channel.is_written,
+        is_kept=channel.request_count > 1,
+    )
 
 
 def _closes_connection(answer):
--- a/lycheetide/relay/_buffered.py
+++ b/lycheetide/relay/_buffered.py
@@ -108,5 +108,5 @@
         try:
             body = await attempt.channel.read_all(timeout_s=wait_s, more=more)
         except ChannelError as broken:
-            raise make_failure(broken, is_written=True) from broken
+            raise make_failure(broken, attempt.channel) from broken
         return attempt.answer, body
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -2,7 +2,7 @@
 
 import math
 
-from lycheetide.gossip import Doubted, Suspected
+from lycheetide.gossip import PEER_REPORT_AGE_S, Doubted, Suspected
 from lycheetide.relay._leaving import record_leaving
 from lycheetide.relay._named_limits import record_named_limit
 from lycheetide.relay._outcomes import Cause
@@ -84,6 +84,8 @@
         call.sent -= 1
         suspect(relay, placement.first.id, "another replica answers there")
     relay.counters.add(f"attempts_failed.{failure.cause}")
+    if is_known_to_answer_peers(relay, placement.first.id, now_s=read_clock()):
+        relay.counters.add("attempts_failed.answers_peers")
     relay.log.info(
         "An attempt failed.",
         extra={
@@ -93,23 +95,36 @@
             "detail": str(failure),
             "may_have_run": call.may_have_run,
             "sent": call.sent,
+            "is_kept": failure.is_kept,
             **make_health_fields(relay, placement.first.id, now_s=read_clock()),
         },
     )
 
 
+def is_known_to_answer_peers(relay, replica, *, now_s):
+    """Tell whether a peer has an answer of a replica newer than those of this node."""
+    detector = relay.failure_detector
+    reported_s = detector.last_report_s(replica)
+    is_recent = now_s - reported_s < PEER_REPORT_AGE_S
+    return is_recent and reported_s > detector.last_answer_s(replica)
+
+
 def make_health_fields(relay, replica, *, now_s):
     """Return the log fields that describe a replica's health, in ms.
 
     Returns
     -------
     dict
-        ``heard_ms``: time since this node or a peer last had a response from the
-        replica, omitted if neither ever had; ``reads_ms``: time for which it will still
-        be reading prompts.
+        ``answered_ms``: time since the replica last answered this node, and
+        ``reported_ms``: time since a peer last reported an answer, each omitted if
+        there was none; ``reads_ms``: time for which it will still be reading prompts.
     """
+    detector = relay.failure_detector
     fields = {"reads_ms": round(relay.job_table.backlog_s(replica, now_s=now_s) * 1e3)}
-    last_heard_s = relay.failure_detector.last_heard_s(replica)
-    if math.isfinite(last_heard_s):
-        fields["heard_ms"] = round((now_s - last_heard_s) * 1e3)
+    for name, at_s in (
+        ("answered_ms", detector.last_answer_s(replica)),
+        ("reported_ms", detector.last_report_s(replica)),
+    ):
+        if math.isfinite(at_s):
+            fields[name] = round((now_s - at_s) * 1e3)
     return fields
--- a/lycheetide/relay/_outcomes.py
+++ b/lycheetide/relay/_outcomes.py
@@ -41,13 +41,18 @@
         Whether the replica may have started to run the request.
     names_helper : bool
         Whether the replica refused the request because of a helper that it named.
+    is_kept : bool
+        Whether the connection had served an earlier request.
     """
 
-    def __init__(self, cause, message, *, may_have_run, names_helper=False):
+    def __init__(
+        self, cause, message, *, may_have_run, names_helper=False, is_kept=False
+    ):
         super().__init__(message)
         self.cause = cause
         self.may_have_run = may_have_run
         self.names_helper = names_helper
+        self.is_kept = is_kept
 
 
 class Refusal(Exception):
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -248,7 +248,7 @@
     try:
         body = await attempt.channel.read_all(timeout_s=MIN_CALLER_PATIENCE_S)
     except ChannelError as broken:
-        raise make_failure(broken, is_written=True) from broken
+        raise make_failure(broken, attempt.channel) from broken
     if reply.is_started or attempt.answer.status >= 500:
         raise AttemptFailed(
             Cause.UPSTREAM_ERROR,
@@ -278,7 +278,7 @@
         try:
             data = await channel.wait_for(channel.next_chunk, event_timeout_s, more)
         except ChannelError as broken:
-            raise make_failure(broken, is_written=True) from broken
+            raise make_failure(broken, attempt.channel) from broken
         if data is None:
             break
         stream_attempt.at_s = read_clock()
