Reproduce nodes that reach no replica and serve nobody

Two of three nodes are cut from all replicas, while callers, the store and the other nodes still reach them. Links of a process that hosts several nodes pass through standins/links.py, which holds, resets or refuses them a node.

--- a/standins/relay_deployment.py
+++ b/standins/relay_deployment.py
@@ -11,6 +11,7 @@
 from lycheetide.relay import run_relay
 from lycheetide.settings import RelaySettings
 from standins.http import LOOPBACK
+from standins.links import Links, node_index
 from standins.local import find_port
 from standins.replica import Replica
 from standins.store import Store
@@ -88,6 +89,7 @@
     def __init__(self, *, replicas=2, relays=1, config=None, stop_notice_s=0.0):
         self.stop_notice_s = stop_notice_s
         self.store = Store()
+        self.links = Links()
         self.replicas = [Replica(f"r-{index}") for index in range(replicas)]
         self.relays = []
         self.stop_events = []
@@ -100,6 +102,7 @@
 
     async def __aenter__(self):
         """Start all parts and wait until the relays have discovered the replicas."""
+        self._stack.enter_context(self.links.installed())
         await self._stack.enter_async_context(self.store.server.run())
         for replica in self.replicas:
             await self._stack.enter_async_context(replica.server.run())
@@ -147,6 +150,7 @@
 
         async def run():
             self.running += 1
+            node_index.set(index)
             try:
                 await run_relay(
                     settings, adapter, stop_task=stop_task,
@@ -164,6 +168,11 @@
             await self.wait_for(lambda: relay.route_table and relay.replicas.replicas)
         return relay
 
+    def cut(self, relay, *, kind="silent", replicas=None):
+        """Cut a relay from replicas, by default from all, as in ``links.Cut``."""
+        cut_off = self.replicas if replicas is None else replicas
+        self.links.cut(relay, [one.address for one in cut_off], kind=kind)
+
     async def wait_for_listener(self, address):
         """Wait until a server accepts connections."""
         host, _, port = address.rpartition(":")
