Reach replicas through a peer where a node's own path is lost

Cause: "is the replica alive?" and "do I reach it?" were one question. A node had one way to a replica, its own connection. When it failed, the node took the replica for dead, tried the next one the same way, 0.4 s each until the caller left, and told all others to avoid the replicas that it missed, though they answered everybody else. Class: a node's own fault taken for that of what it talks to.

Evidence: 349 of 373 failed attempts at the cut nodes were sent nothing, 211 of them at replicas that had been heard of within 1.3 s; the failing tests.

Change: a connection that isn't open within 0.1 s is also asked for at up to three peers, and the first that opens is used (paths/). A peer connects on its own path only, and only to registered replicas. That a peer opens it is the evidence that the node's own path is lost; then peers come first, kept connections older than the loss aren't used, and the path is tried again in the background, less often if it comes and goes. A silent or broken request is followed up by another connection over the same path: only if that opens, or a peer that reaches another replica at that moment doesn't reach this one, the others are told. Everything that decides (placement, limits, budgets, announcements, seals) stays at the node that has the caller. Bytes of a replica are framed in a tunnel, so that a carrier that dies doesn't make a part of an answer look whole.

Why it works: the decision needs no agreement, no history and no view of the fleet; each connection finds its way, whatever part of the replicas is cut off and in which direction.

--- a/lycheetide/gossip/_failure_detector.py
+++ b/lycheetide/gossip/_failure_detector.py
@@ -116,6 +116,11 @@
             self._suspicions[replica] = replace(found, last_s=now_s)
         return is_new
 
+    def forgive(self, replica):
+        """Drop the evidence against a replica that this node only failed to reach."""
+        self._failed_s.pop(replica, None)
+        self._suspicions.pop(replica, None)
+
     def last_answer_s(self, replica):
         """Return the time of a replica's last answer to this node."""
         return self._answered_s.get(replica, NEVER_S)
--- a/lycheetide/gossip/_messages.py
+++ b/lycheetide/gossip/_messages.py
@@ -198,6 +198,12 @@
     limits : tuple of LimitReport
         Replicas that name a limit, or have just stopped doing so, as far as the sender
         knows; as many as fit.
+    tunnel_port : int
+        Port at which it carries connections to replicas for peers; 0 if it doesn't.
+    tunnels : int
+        Number of connections that it carries at present.
+    is_cut_off : bool
+        Whether it has lost its own paths to all replicas.
 
     Notes
     -----
@@ -224,6 +230,9 @@
     is_store_reachable: bool = True
     paces: tuple[tuple[str, int], ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    tunnel_port: int = 0
+    tunnels: int = 0
+    is_cut_off: bool = False
 
 
 class RegistryUpdate(msgspec.Struct, frozen=True, array_like=True, tag="c"):
--- a/lycheetide/gossip/_peers.py
+++ b/lycheetide/gossip/_peers.py
@@ -46,6 +46,12 @@
         Bandwidth of its network link, in Mbit/s; 0 if unknown.
     is_store_reachable : bool
         Whether its last request to the store succeeded.
+    tunnel_port : int
+        Port at which it carries connections to replicas for others; 0 if it doesn't.
+    tunnels : int
+        Number of connections that it carries.
+    is_cut_off : bool
+        Whether it has lost its own paths to all replicas.
     """
 
     node: str
@@ -59,6 +65,14 @@
     order: int = 0
     link_mbps: int = 0
     is_store_reachable: bool = True
+    tunnel_port: int = 0
+    tunnels: int = 0
+    is_cut_off: bool = False
+
+    @property
+    def tunnel_address(self):
+        """Address at which it carries connections to replicas for others."""
+        return f"{self.address.rpartition(':')[0]}:{self.tunnel_port}"
 
     @property
     def place(self):
@@ -120,6 +134,9 @@
             order=order_node(heartbeat.node) if is_new else known.order,
             link_mbps=heartbeat.link_mbps,
             is_store_reachable=heartbeat.is_store_reachable,
+            tunnel_port=heartbeat.tunnel_port,
+            tunnels=heartbeat.tunnels,
+            is_cut_off=heartbeat.is_cut_off,
         )
         if is_new:
             self.last_new_peer_s = now_s
--- a/lycheetide/httpclient/__init__.py
+++ b/lycheetide/httpclient/__init__.py
@@ -12,6 +12,7 @@
     ChannelError,
     OutgoingRequest,
     ResponseHead,
+    set_socket_options,
 )
 from lycheetide.httpclient._pool import ChannelPool, compute_idle_limit
 
@@ -23,4 +24,5 @@
     "OutgoingRequest",
     "ResponseHead",
     "compute_idle_limit",
+    "set_socket_options",
 ]
--- a/lycheetide/httpclient/_channel.py
+++ b/lycheetide/httpclient/_channel.py
@@ -25,7 +25,19 @@
 
 
 class ChannelConnectError(Exception):
-    """The connection could not be opened; nothing was sent."""
+    """The connection could not be opened; nothing was sent.
+
+    Parameters
+    ----------
+    message : str
+        What happened.
+    is_confirmed : bool, default=False
+        Whether another node that reaches other servers doesn't reach this one.
+    """
+
+    def __init__(self, message, *, is_confirmed=False):
+        super().__init__(message)
+        self.is_confirmed = is_confirmed
 
 
 class ChannelError(Exception):
@@ -86,10 +98,14 @@
         The maximum time that the connection may stay idle.
     idle_since_s : float
         When the connection became idle.
-    served : int
+    request_count : int
         The number of requests sent on the connection.
+    via : str
+        Address of the node that carries the connection; empty if it is direct.
     """
 
+    via = ""
+
     def __init__(self, stream, address):
         self.stream = stream
         self.address = address
@@ -118,7 +134,7 @@
                 stream = await anyio.connect_tcp(host, int(port))
         except (OSError, ValueError) as error:
             raise ChannelConnectError(f"{address}: {error!r}") from error
-        _set_socket_options(stream)
+        set_socket_options(stream)
         return cls(stream, address)
 
     def is_alive(self):
@@ -339,7 +355,7 @@
             await self.stream.aclose()
 
 
-def _set_socket_options(stream):
+def set_socket_options(stream):
     """Let the kernel detect connections that are lost without a reset."""
     sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     options = (
--- a/lycheetide/httpclient/_pool.py
+++ b/lycheetide/httpclient/_pool.py
@@ -42,21 +42,38 @@
     )
 
 
+async def connect_directly(address, *, timeout_s):
+    """Open a connection to a server."""
+    return await Channel.connect(address, timeout_s=timeout_s)
+
+
+def allow_reuse(_):
+    """Allow every idle connection to be used again."""
+    return True
+
+
 class ChannelPool:
     """A pool of idle connections by address.
 
     Attributes
     ----------
+    connect : callable
+        Coroutine function that opens a connection. Takes an address, ``timeout_s`` and
+        the options given to ``open``.
+    may_reuse : callable
+        Takes an idle connection and the same options; tells whether it may be used.
     opened, reused : int
         How many connections were opened, and how often an idle one was reused.
     """
 
     def __init__(self):
         self._idle: dict[str, deque[Channel]] = defaultdict(deque)
+        self.connect = connect_directly
+        self.may_reuse = allow_reuse
         self.opened = 0
         self.reused = 0
 
-    async def open(self, address, *, timeout_s, now_s, fresh=False):
+    async def open(self, address, *, timeout_s, now_s, fresh=False, **options):
         """Return an idle connection if possible, or open a new one.
 
         Parameters
@@ -71,6 +88,8 @@
             Whether a new connection is required. An idle connection may be dead
             without any sign of it, and a request lost on it can't be distinguished
             from one that was run.
+        **options : object
+            Passed to ``connect`` and ``may_reuse``.
 
         Raises
         ------
@@ -80,12 +99,13 @@
         idle = self._idle[address]
         while idle and not fresh:
             channel = idle.pop()
-            if now_s - channel.idle_since_s < channel.idle_s and channel.is_alive():
+            is_recent = now_s - channel.idle_since_s < channel.idle_s
+            if is_recent and channel.is_alive() and self.may_reuse(channel, **options):
                 self.reused += 1
                 return channel
             await channel.aclose()
         self.opened += 1
-        return await Channel.connect(address, timeout_s=timeout_s)
+        return await self.connect(address, timeout_s=timeout_s, **options)
 
     async def call(self, address, outgoing, *, timeout_s, read_clock, max_idle=1):
         """Send a small idempotent request and return the whole response.
@@ -161,13 +181,20 @@
             await channel.aclose()
 
     async def close_expired(self, *, now_s):
-        """Close connections that have been idle for too long."""
-        for address in list(self._idle):
-            idle = self._idle[address]
-            while idle and now_s - idle[0].idle_since_s >= idle[0].idle_s:
-                await idle.popleft().aclose()
-            if not idle:
-                del self._idle[address]
+        """Close connections that were idle for too long or may not be used again."""
+        unusable = [
+            channel
+            for idle in self._idle.values()
+            for channel in idle
+            if now_s - channel.idle_since_s >= channel.idle_s
+            or not self.may_reuse(channel)
+        ]
+        for channel in unusable:
+            self._idle[channel.address].remove(channel)
+        for address in [key for key, idle in self._idle.items() if not idle]:
+            del self._idle[address]
+        for channel in unusable:
+            await channel.aclose()
 
     async def aclose(self):
         """Close all idle connections."""
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -9,14 +9,13 @@
 from lycheetide.httpclient import ChannelConnectError, ChannelError, compute_idle_limit
 from lycheetide.placement import Placement
 from lycheetide.relay._call import find_admission_priority
-from lycheetide.relay._evidence import record_response, suspect
+from lycheetide.relay._dial import CONNECT_TIMEOUT_S, retry_direct_path
+from lycheetide.relay._evidence import record_response, record_unreached
 from lycheetide.relay._named_limits import may_still_send
 from lycheetide.relay._outcomes import AttemptFailed, Cause
 from lycheetide.relay._retries import spend_retry
 from lycheetide.relay._state import read_clock
 
-CONNECT_TIMEOUT_S = 0.4
-"""Longest time to open a connection: a hundred round trips between failure domains."""
 LATE_SEND_S = 0.05
 """A request that is sent this much later than it was announced is announced again: the
 other nodes count it for one second from when they receive the announcement."""
@@ -156,6 +155,8 @@
         if answer.attempt_id != call.request.attempt_id:
             # A late answer to some earlier request, of which the time isn't known.
             sent_s = float("-inf")
+        if not channel.via:
+            relay.paths.note_received(entry.address, now_s=read_clock())
         record_response(relay, entry, answer, sent_s=sent_s)
         check_answer(call, answer)
         attempt = Attempt(channel, answer, placement)
@@ -221,6 +222,7 @@
             call.has_retry = False
             is_counted = True
         is_kept = channel.request_count > 0
+        call.paths[first.id] = channel.via
         try:
             now_s = read_clock()
             relay.record_sent(first.id, now_s=now_s)
@@ -272,17 +274,21 @@
         If no connection can be opened.
     """
     try:
-        return await relay.pool.open(
+        channel = await relay.pool.open(
             first.address,
             timeout_s=CONNECT_TIMEOUT_S,
             now_s=read_clock(),
             fresh=is_fresh,
+            homes=call.list_homes(),
         )
     except ChannelConnectError as error:
-        suspect(relay, first.id, "no connection")
+        record_unreached(relay, first.id, error)
         raise AttemptFailed(
             Cause.CONNECT_FAILED, str(error), may_have_run=call.may_have_run
         ) from error
+    if channel.via:
+        retry_direct_path(relay, first.address, now_s=read_clock())
+    return channel
 
 
 def make_failure(broken, channel):
--- a/lycheetide/relay/_call.py
+++ b/lycheetide/relay/_call.py
@@ -55,6 +55,9 @@
         Whether a part of the answer was sent to the caller.
     has_retry : bool
         Whether a retry was taken from the retry budget for the next attempt.
+    paths : dict of str to str
+        Path of the latest request to each replica: address of the peer that carries the
+        connection, empty for a direct one.
     """
 
     request: CallerRequest
@@ -72,6 +75,11 @@
     helpers_refused: bool = False
     is_begun: bool = False
     has_retry: bool = False
+    paths: dict[str, str] = field(default_factory=dict)
+
+    def list_homes(self):
+        """Return lists of regions; a replica must be in each that isn't empty."""
+        return self.route.regions, self.customer.regions if self.customer else ()
 
     def remaining_s(self, *, now_s):
         """Return the time until the deadline, in seconds."""
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -6,34 +6,93 @@
 from lycheetide.relay._leaving import record_leaving
 from lycheetide.relay._named_limits import record_named_limit
 from lycheetide.relay._outcomes import Cause
+from lycheetide.relay._path_checks import has_lost_path, start_path_check
 from lycheetide.relay._rests import record_rest
 from lycheetide.relay._state import read_clock
 
 
 def suspect(relay, replica, why):
-    """Suspect a replica, so that this node and all others avoid it for a while.
+    """Suspect a replica, so that this node and all others avoid it for a while."""
+    if suspect_here(relay, replica, why):
+        relay.broadcast_work(Suspected(relay.node, replica))
+
+
+def suspect_here(relay, replica, why):
+    """Suspect a replica at this node alone; return whether that is news.
 
     A replica that is already suspected was reported and logged when that began.
     """
     if not relay.failure_detector.suspect(replica, now_s=read_clock()):
-        return
-    relay.broadcast_work(Suspected(relay.node, replica))
+        return False
     relay.counters.add("replicas.suspected")
     relay.log.info("A replica is suspected.", extra={"replica": replica, "why": why})
+    return True
+
+
+def suspect_silent(relay, replica, via, why):
+    """Suspect a replica that sent nothing; the others hear of it once it is at fault.
+
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    replica : str
+        Id of the replica.
+    via : str
+        Path of the request that met silence, as in ``Call.paths``.
+    why : str
+        Reason for the log.
+    """
+    if has_lost_path(relay, replica, via, now_s=read_clock()):
+        return
+    if suspect_here(relay, replica, why):
+        start_path_check(relay, replica, via, Suspected(relay.node, replica))
+
+
+def record_unreached(relay, replica, error):
+    """Record that no path to a replica could be found.
+
+    If no peer could say whether it reaches the replica, this node's own path may be at
+    fault, and the others are told nothing.
+    """
+    if error.is_confirmed:
+        suspect(relay, replica, "no connection")
+    else:
+        suspect_here(relay, replica, "no connection")
 
 
-def doubt(relay, replica):
+def doubt(relay, replica, via):
     """Mark a replica that broke off a response as second choice, at all nodes.
 
     Replicas that die at the same time break off streams at many nodes. If each node
     kept its observations to itself, streams would move from one dead replica to the
-    next.
+    next. A node that has lost its own path tells the others nothing.
     """
     if relay.failure_detector.doubt(replica, now_s=read_clock()):
-        relay.broadcast_work(Doubted(relay.node, replica))
+        start_path_check(relay, replica, via, Doubted(relay.node, replica))
         relay.counters.add("replicas.doubted")
 
 
+def check_silent_path(relay, replica, via, *, since_s):
+    """Check the path to a replica that has sent nothing since a request was sent to it.
+
+    Returns
+    -------
+    bool
+        Whether a check was started; not if one is running, or if this node received
+        something from the replica meanwhile.
+    """
+    known = relay.replicas.replicas.get(replica)
+    if known is None or replica in relay.path_checks:
+        return False
+    last_check_s = relay.paths.last_check_s(known.entry.address)
+    last_received_s = relay.paths.last_received_s(known.entry.address)
+    if max(last_received_s, last_check_s) > since_s:
+        return False
+    start_path_check(relay, replica, via)
+    return True
+
+
 def record_response(relay, entry, answer, *, sent_s):
     """Record what a response head shows about its replica and about others.
 
@@ -65,6 +124,7 @@
     """Record a failed attempt."""
     call.may_have_run = call.may_have_run or failure.may_have_run
     is_helped = bool(placement.helpers or placement.holders)
+    via = call.paths.get(placement.first.id, "")
     if failure.cause is Cause.REFUSED and is_helped and not failure.names_helper:
         # Which helper was at fault isn't known, so the next attempt uses none.
         call.helpers_refused = True
@@ -73,9 +133,9 @@
     if failure.cause in {Cause.LIMITED, Cause.RESTING, Cause.LEAVING}:
         call.tried.discard(placement.first.id)
     if failure.cause is Cause.BROKEN:
-        doubt(relay, placement.first.id)
+        doubt(relay, placement.first.id, via)
     if failure.cause is Cause.SILENT:
-        suspect(relay, placement.first.id, "silent")
+        suspect_silent(relay, placement.first.id, via, "silent")
     if failure.cause is Cause.OTHER_REPLICA:
         # Nothing was sent to the intended replica: it is gone and its address was
         # reused, or it has restarted. The attempt isn't counted, since two of these in
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -285,6 +285,9 @@
             link_mbps=round(relay.settings.link_mbps),
             is_store_reachable=relay.is_store_reachable,
             paces=self._sample_paces(),
+            tunnel_port=relay.tunnels.port,
+            tunnels=relay.tunnels.count,
+            is_cut_off=relay.paths.is_cut_off(now_s=now_s),
         )
         return msgspec.structs.replace(
             heartbeat, limits=self._sample_limits(heartbeat, now_s=now_s)
@@ -443,7 +446,8 @@
             self.relay.message_delays.drop_absent(living)
             self._log_new_peers(len(living))
             self.relay.used.log(self.relay, now_s=now_s)
-            await self.relay.pool.close_expired(now_s=now_s)
+            for pool in (self.relay.pool, self.relay.peer_pool):
+                await pool.close_expired(now_s=now_s)
 
     def _log_new_peers(self, living):
         """Log the number of new peers; one line per peer would grow quadratically."""
--- a/lycheetide/relay/_peer_state.py
+++ b/lycheetide/relay/_peer_state.py
@@ -91,7 +91,7 @@
 async def request_topic(relay, address, target):
     """Request all records of one topic from a peer."""
     outgoing = OutgoingRequest(b"GET", target, ((b"Host", address.encode()),))
-    head, data = await relay.pool.call(
+    head, data = await relay.peer_pool.call(
         address, outgoing, timeout_s=PEER_TIMEOUT_S, read_clock=read_clock
     )
     if head.status != 200:
--- a/lycheetide/relay/_reload.py
+++ b/lycheetide/relay/_reload.py
@@ -21,6 +21,7 @@
         "caller_address",
         "readiness_address",
         "peer_address",
+        "tunnel_address",
         "store_address",
         "metrics_address",
         "statsd_address",
--- a/lycheetide/relay/_reservations.py
+++ b/lycheetide/relay/_reservations.py
@@ -19,7 +19,7 @@
     count_reservable_tokens,
     needs_several_replicas,
 )
-from lycheetide.relay._evidence import suspect
+from lycheetide.relay._evidence import suspect_silent
 from lycheetide.relay._rests import record_rest
 from lycheetide.relay._selection import (
     find_placement,
@@ -254,7 +254,7 @@
     entry = relay.replicas.replicas[replica.id].entry
     head = await _order(relay, order, replica.address)
     if head is None:
-        suspect(relay, replica.id, "no answer to an order")
+        suspect_silent(relay, replica.id, "", "no answer to an order")
     elif head.status == 503:
         record_rest(relay, entry, relay.adapter.decode_answer(head).rest_s)
     results[ticket] = head is not None and head.status == 200
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import time
+from functools import partial
 
 import anyio
 from hypercorn.asyncio import serve
@@ -10,6 +11,7 @@
 
 from lycheetide.metrics import read_process_age_s
 from lycheetide.relay._datagrams import make_listener
+from lycheetide.relay._dial import connect_replica, may_reuse
 from lycheetide.relay._follow import follow_operator, follow_registry
 from lycheetide.relay._ingress import make_caller_app, make_readiness_app
 from lycheetide.relay._messaging import PeerMessenger, discover
@@ -17,6 +19,7 @@
 from lycheetide.relay._peer_state import make_peer_app
 from lycheetide.relay._reload import reload_settings, watch_settings
 from lycheetide.relay._state import RelayState, read_clock
+from lycheetide.relay._tunnels import serve_tunnels
 from lycheetide.tasks import GuardedTasks, keep_running, watch_standstill
 
 EXIT_MARGIN_S = 0.7
@@ -29,7 +32,6 @@
 
 def make_server_config(settings, address, *, idle_s, header_bytes=65_536):
     """Return the configuration of one HTTP server."""
-    graceful_s = settings.stop_s - settings.stop_notice_s - EXIT_MARGIN_S
     config = Config()
     config.bind = [address]
     config.accesslog = None
@@ -40,11 +42,16 @@
     config.keep_alive_max_requests = 1 << 30
     config.h11_max_incomplete_size = header_bytes
     config.h11_pass_raw_headers = False
-    config.graceful_timeout = max(0.1, graceful_s)
+    config.graceful_timeout = compute_graceful_s(settings)
     config.backlog = LISTEN_BACKLOG
     return config
 
 
+def compute_graceful_s(settings):
+    """Return how long running requests get once nothing more is accepted."""
+    return max(0.1, settings.stop_s - settings.stop_notice_s - EXIT_MARGIN_S)
+
+
 async def handle_signals(relay, *, task_status):
     """Handle signals forever; SIGHUP reports a changed settings file.
 
@@ -85,6 +92,8 @@
     process_age_s = read_process_age_s()
     node = f"{settings.name}.{time.time_ns() % 10**9:x}.{os.getpid():x}"
     relay = RelayState(settings, adapter, node, settings_path=settings_path)
+    relay.pool.connect = partial(connect_replica, relay)
+    relay.pool.may_reuse = partial(may_reuse, relay)
     listener = make_listener(settings.peer_address)
     messenger = PeerMessenger(relay, listener)
     relay.broadcast_work = messenger.broadcaster.broadcast_via_hubs
@@ -114,6 +123,11 @@
             for app, address, idle_s in list_apps(relay):
                 config = make_server_config(settings, address, idle_s=idle_s)
                 servers.start_soon(_serve, app, config, stopped)
+            if settings.tunnel_address:
+                graceful_s = compute_graceful_s(settings)
+                servers.start_soon(
+                    partial(serve_tunnels, relay, stopped, graceful_s=graceful_s)
+                )
             relay.log.info("The node has started.", extra={"member": node})
             if on_start is not None:
                 on_start(relay)
@@ -124,7 +138,8 @@
             stopped.set()
         group.cancel_scope.cancel()
     relay.used.log(relay, now_s=read_clock(), is_last=True)
-    await relay.pool.aclose()
+    for pool in (relay.pool, relay.peer_pool):
+        await pool.aclose()
     listener.close()
     messenger.close()
     relay.log.info("The node has stopped.", extra={"member": node})
--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -143,7 +143,7 @@
         call.service,
         now_s=now_s,
         without=call.list_excluded(now_s=now_s) | without,
-        homes=(call.route.regions, call.customer.regions if call.customer else ()),
+        homes=call.list_homes(),
     )
 
 
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -25,6 +25,7 @@
 from lycheetide.httpclient import ChannelPool
 from lycheetide.metrics import Counters, get_logger, make_statsd_client
 from lycheetide.metrics._exporter import MetricsExporter
+from lycheetide.paths import PathTable, TunnelService
 from lycheetide.placement import (
     PROPAGATION_DELAY_S,
     Candidate,
@@ -127,7 +128,10 @@
         self.leaving: dict[Life, float] = {}
         self.reported_paces: tuple[tuple[str, float], ...] = ()
         self.peers = PeerTable(settings.peer_address, fleet=settings.store_address)
-        self.pool = ChannelPool()
+        self.paths = PathTable()
+        self.path_checks: dict[str, float] = {}
+        self.tunnels = TunnelService()
+        self.pool, self.peer_pool = ChannelPool(), ChannelPool()
         self.stall_detector = StallDetector()
         self.started_s = read_clock()
         self.used = UsageCounter(now_s=self.started_s)
@@ -258,6 +262,8 @@
             del self._idle_candidates[replica]
         self.job_table.drop_absent(present, now_s=now_s)
         self.failure_detector.drop_absent(present, now_s=now_s)
+        addresses = {replica.entry.address for replica in present.values()}
+        self.paths.drop_absent(addresses, now_s=now_s)
         for replica in [name for name in self._own_starts if name not in present]:
             if not self.own_starts(replica, OWN_START_RETENTION_S, now_s=now_s):
                 del self._own_starts[replica]
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -283,6 +283,8 @@
             break
         stream_attempt.at_s = read_clock()
         relay.failure_detector.hear(stream_attempt.replica, now_s=stream_attempt.at_s)
+        if not channel.via:
+            relay.paths.note_received(channel.address, now_s=stream_attempt.at_s)
         if not stream_attempt.has_data:
             stream_attempt.has_data = True
             relay.job_table.note_read(
--- a/lycheetide/relay/_timeouts.py
+++ b/lycheetide/relay/_timeouts.py
@@ -6,7 +6,8 @@
 """
 
 from lycheetide.placement import caller_patience_s
-from lycheetide.relay._evidence import suspect
+from lycheetide.relay._evidence import check_silent_path, suspect_silent
+from lycheetide.relay._path_checks import has_lost_path
 from lycheetide.relay._retries import prepare_next_attempt
 from lycheetide.relay._state import read_clock
 
@@ -20,6 +21,9 @@
 """Shortest remaining time in which another attempt can bring an event."""
 PEER_REPORT_S = 0.3
 """Time within which peers report the replicas that answered them."""
+PATH_CHECK_S = 0.12
+"""Time to find out whether a silent replica can be reached by the same path, or only by
+another one."""
 RECHECK_S = 0.25
 """Interval at which a silent attempt looks for a replica that can take over. It doubles
 with each replica that was found and tried without success."""
@@ -64,9 +68,13 @@
     def more():
         nonlocal hedges
         now_s = read_clock()
-        liveness_s = find_liveness_s(relay, stream_attempt.replica, now_s=now_s)
+        replica = stream_attempt.replica
+        via = call.paths.get(replica, "")
+        if check_silent_path(relay, replica, via, since_s=stream_attempt.at_s):
+            return PATH_CHECK_S
+        liveness_s = find_liveness_s(relay, replica, now_s=now_s)
         wait_s = min(stream_attempt.at_s + HEDGE_SHARE * patience_s - now_s, liveness_s)
-        if wait_s > 0:
+        if wait_s > 0 and not has_lost_path(relay, replica, via, now_s=now_s):
             return wait_s
         if not hedged_attempts.is_single:
             return RECHECK_S
@@ -145,7 +153,7 @@
 
 def record_hedge(relay, call, replica):
     """Suspect a silent replica, and count and log a hedged attempt at another one."""
-    suspect(relay, replica, "silent")
+    suspect_silent(relay, replica, call.paths.get(replica, ""), "silent")
     relay.counters.add("retries.silent")
     relay.log.info(
         "A silent stream is tried elsewhere as well.",
@@ -167,7 +175,7 @@
         if is_recorded:
             return
         is_recorded = True
-        suspect(relay, replica, "silent")
+        suspect_silent(relay, replica, call.paths.get(replica, ""), "silent")
         relay.counters.add(f"stayed.{denial}")
         relay.log.info(
             "A request keeps waiting for a silent replica.",
--- a/lycheetide/relay/_usage.py
+++ b/lycheetide/relay/_usage.py
@@ -38,7 +38,7 @@
         """Log the counters and reset them if the interval is over."""
         if now_s - self._logged_s < LOG_INTERVAL_S and not is_last:
             return
-        self.note_connections(relay.pool.opened)
+        self.note_connections(relay.pool.opened + relay.peer_pool.opened)
         for name, amount in self.counts.items():
             relay.counters.add(f"used.{name}", amount)
         relay.log.info(
--- a/lycheetide/replicas/_table.py
+++ b/lycheetide/replicas/_table.py
@@ -115,6 +115,14 @@
         self.end = 0
         self._latest_keys: dict[str, tuple[int, int]] = {}
         self._digest: int | None = None
+        self._ids_by_address: dict[str, str] = {}
+
+    def find_at(self, address):
+        """Return the replica at an address, None if none is registered there."""
+        found = self.replicas.get(self._ids_by_address.get(address, ""))
+        if found is None or found.entry.address != address:
+            return None
+        return found
 
     def apply(self, changes: Iterable[RegistryChange], *, now_s, outage_ended_s=None):
         """Apply records of the registry.
@@ -174,6 +182,7 @@
         if entry.order_key <= last and not self._is_repeated(current, entry):
             return False
         self._latest_keys[change.id] = max(last, entry.order_key)
+        self._ids_by_address[entry.address] = change.id
         is_new = current is None or entry.born_ms != current.entry.born_ms
         turned_cold = entry.cold_s > 0 and not (
             current and current.is_cold(now_s=now_s)
@@ -263,6 +272,8 @@
             and now_s - replica.removed_from_s > 60.0
         ]
         for name in gone:
-            del self.replicas[name]
+            address = self.replicas.pop(name).entry.address
+            if self._ids_by_address.get(address) == name:
+                del self._ids_by_address[address]
         while len(self._latest_keys) > MAX_TOMBSTONES + len(self.replicas):
             self._latest_keys.pop(next(iter(self._latest_keys)))
--- a/lycheetide/settings/_relay.py
+++ b/lycheetide/settings/_relay.py
@@ -25,6 +25,8 @@
     network delay. After that, a stopping node accepts no further requests, and running
     requests get the rest of ``stop_s``.
     ``link_mbps`` is the bandwidth of the host's network link; 0 if it is unknown.
+    ``tunnel_address`` is where the node carries connections to replicas for peers that
+    don't reach them, at the IP address of ``peer_address``; empty for not at all.
     """
 
     name: str
@@ -34,6 +36,7 @@
     readiness_address: str
     peer_address: str
     store_address: str
+    tunnel_address: str = ""
     metrics_address: str = ""
     seed_addresses: tuple[str, ...] = ()
     domain_regions: tuple[tuple[str, str], ...] = ()
@@ -66,6 +69,7 @@
     Field("relay", "readiness_address", address, required=True),
     Field("relay", "peer_address", address, required=True),
     Field("relay", "store_address", address, required=True),
+    Field("relay", "tunnel_address", optional_address),
     Field("relay", "metrics_address", optional_address),
     Field("relay", "seed_addresses", address_list),
     Field("relay", "domain_regions", pairs),
--- a/standins/large.py
+++ b/standins/large.py
@@ -54,6 +54,11 @@
     return frozenset()
 
 
+def list_no_homes():
+    """Return no regions, as for a call that may be served in any."""
+    return (), ()
+
+
 def make_call(prompt_tokens, *, target_s=0.4, gap_s=0.25, cold_per_s=17.0):
     """Return an object with the attributes of a call that placement reads."""
     return SimpleNamespace(
@@ -65,6 +70,7 @@
             name=SERVICE, cold_requests_per_s=cold_per_s, engine=ENGINE
         ),
         list_excluded=list_no_exclusions,
+        list_homes=list_no_homes,
         size=RequestSize(prompt_tokens, 1_500),
         request=SimpleNamespace(received_s=time.monotonic()),
         helpers_refused=False,
--- a/standins/relay_deployment.py
+++ b/standins/relay_deployment.py
@@ -138,6 +138,7 @@
             caller_address=f"{LOOPBACK}:{find_port()}",
             readiness_address=f"{LOOPBACK}:{find_port()}",
             peer_address=f"{LOOPBACK}:{find_port()}",
+            tunnel_address=f"{LOOPBACK}:{find_port()}",
             store_address=self.store.address,
             registry_interval_s=0.05, stop_notice_s=self.stop_notice_s,
             stop_s=self.stop_notice_s + 2.0,
