Say what the socket options of a connection really do

The comment said that two lost probes close a connection after about 4 s; with 3 s of TCP_USER_TIMEOUT it is the probe at 3 s. No behaviour changes. Replicas, peers and the store are reached by this client alone, which no library gives options of its own. By reading; not measured.

--- a/lycheetide/httpclient/_channel.py
+++ b/lycheetide/httpclient/_channel.py
@@ -11,11 +11,14 @@
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 TCP_USER_TIMEOUT_MS = 3_000
-"""The connection is closed when sent bytes stay unacknowledged for this period."""
+"""The connection is closed when sent bytes or keep-alive probes stay unacknowledged for
+this period: with this option set, the number of probes decides nothing."""
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
+"""Idle time before the first keep-alive probe, and between probes: a connection lost
+without a reset is closed 3 s after the last byte was received."""
 KEEPALIVE_PROBES = 2
-"""TCP keep-alive probes; a connection lost without a reset is detected in about 4 s."""
+"""Number of probes that may be lost on a system without ``TCP_USER_TIMEOUT``."""
 DEFAULT_IDLE_S = 3.0
 """Maximum idle time of a connection whose server announces no keep-alive timeout."""
 IDLE_MARGIN_S = 1.0
