Don't ask a closed socket whether its connection lives

Found while links were cut in tests: a pooled connection whose socket this process had closed, as asyncio does after an error, has no descriptor, and polling that raised a ValueError, which ended the request with 500. A closed socket is now no live connection. The test fails before (ValueError) and passes after.

--- a/lycheetide/httpclient/_channel.py
+++ b/lycheetide/httpclient/_channel.py
@@ -148,12 +148,15 @@
         """
         if not self.is_reusable or self._parser.trailing_data[0]:
             return False
+        fileno = self._fileno()
+        if fileno < 0:
+            return False
         poll = select.poll()
-        poll.register(self._fileno(), select.POLLIN)
+        poll.register(fileno, select.POLLIN)
         return not poll.poll(0)
 
     def _fileno(self):
-        """Return the file descriptor of the socket."""
+        """Return the file descriptor of the socket, below 0 if it is closed."""
         return self.stream.extra(anyio.abc.SocketAttribute.raw_socket).fileno()
 
     async def request(self, outgoing, *, timeout_s, more=None) -> ResponseHead:
--- a/lycheetide/httpclient/tests/test_pool.py
+++ b/lycheetide/httpclient/tests/test_pool.py
@@ -123,3 +123,15 @@
         assert again is channels[0]
         assert pool.opened == 3
         await again.aclose()
+
+
+async def test_idle_connection_whose_socket_is_closed_is_not_reused():
+    """Guards against an error inside the node where only a connection has gone."""
+    async with run_server(reset_requests=()) as address:
+        pool = ChannelPool()
+        await call(pool, address)
+        (channel,) = pool._idle[address]
+        channel.stream._transport.abort()
+        await anyio.sleep(0.01)
+        assert await call(pool, address) == b"2"
+        await pool.aclose()
