Prefer other peers to one that opened no tunnel, but use it if it is all there is

A peer that hadn't answered was left out for a second, so that a fleet of two or three nodes could have nobody left to ask; it is asked last now. Up to six peers are asked instead of three, as those without a path say so within a few ms and most of a large fleet may have none. A node that loses or regains all paths no longer tells each other node at once, which in a large fleet would be a message from each to each; its next heartbeats do. A peer that declines because its own path is lost tries that path again, so that it doesn't decline on old knowledge.

--- a/lycheetide/paths/_table.py
+++ b/lycheetide/paths/_table.py
@@ -23,7 +23,7 @@
 RETENTION_S = 30.0
 """How long a loss is remembered without new evidence."""
 PEER_AVOIDANCE_S = 1.0
-"""How long a peer is avoided that didn't answer a request for a tunnel."""
+"""How long other peers are preferred to one that opened no tunnel."""
 EVERYWHERE = ""
 """Group of all replicas; the others are named by their failure domains."""
 
@@ -167,11 +167,11 @@
         return max(others, key=self._received_s.__getitem__, default=None)
 
     def avoid_peer(self, address, *, now_s):
-        """Record that a peer didn't answer a request for a tunnel."""
+        """Record that a peer opened no tunnel, or not in time."""
         self._failed_peers_s[address] = now_s
 
     def is_peer_avoided(self, address, *, now_s):
-        """Tell whether a peer failed to answer a request for a tunnel recently."""
+        """Tell whether other peers are preferred to one that opened no tunnel."""
         return now_s - self._failed_peers_s.get(address, NEVER_S) < PEER_AVOIDANCE_S
 
     def drop_absent(self, addresses, *, now_s):
--- a/lycheetide/relay/_dial.py
+++ b/lycheetide/relay/_dial.py
@@ -25,7 +25,9 @@
 STAGGER_S = 0.1
 """Time after which another path is tried beside one that hasn't worked yet. Opening a
 connection takes a few ms between failure domains, and below 0.1 s between regions."""
-MAX_PEERS_TRIED = 3
+MAX_PEERS_TRIED = 6
+"""Most peers asked for one connection. Those that don't answer use up the time for it
+sooner; one that has no path says so at once."""
 
 
 async def connect_replica(relay, address, *, timeout_s, homes=(), first_via=None):
@@ -90,29 +92,34 @@
     """Return the peers to ask for a tunnel, in the order in which they are asked.
 
     Each is the less loaded one of two drawn at random, so that nodes that are cut off
-    together share all peers that aren't. Peers that are cut off themselves come last.
+    together share all peers that aren't. Those that are cut off themselves, or have
+    failed a moment ago, come last.
     """
+
+    def is_doubtful(peer):
+        return peer.is_cut_off or relay.paths.is_peer_avoided(
+            peer.tunnel_address, now_s=now_s
+        )
+
     usable = [
         peer
         for peer in relay.peers.alive(now_s=now_s)
-        if is_tunnel_peer(relay, peer, homes=homes, now_s=now_s)
+        if is_tunnel_peer(relay, peer, homes=homes)
     ]
     relay.random.shuffle(usable)
-    usable.sort(key=lambda peer: peer.is_cut_off)
+    usable.sort(key=is_doubtful)
     chosen: list[Peer] = []
     while usable and len(chosen) < MAX_PEERS_TRIED:
-        best = min(usable[:2], key=lambda peer: (peer.is_cut_off, peer.tunnels))
+        best = min(usable[:2], key=lambda peer: (is_doubtful(peer), peer.tunnels))
         usable.remove(best)
         chosen.append(best)
     return chosen
 
 
-def is_tunnel_peer(relay, peer, *, homes, now_s):
+def is_tunnel_peer(relay, peer, *, homes):
     """Tell whether a peer may carry a connection."""
     if not peer.tunnel_port or peer.is_leaving:
         return False
-    if relay.paths.is_peer_avoided(peer.tunnel_address, now_s=now_s):
-        return False
     region = relay.find_region(peer.failure_domain)
     return all(region in regions for regions in homes if regions)
 
@@ -167,9 +174,8 @@
     """Record what an attempt to connect shows about paths."""
     if outcome.channel is None:
         return
-    for via in outcome.outrun:
-        if via and not isinstance(outcome.errors.get(via), TunnelDeclined):
-            relay.paths.avoid_peer(via, now_s=now_s)
+    for via in filter(None, outcome.outrun):
+        relay.paths.avoid_peer(via, now_s=now_s)
     if not outcome.channel.via:
         record_direct_connection(relay, address, domain, now_s=now_s)
         return
@@ -190,7 +196,7 @@
     )
     if not was_cut_off and relay.paths.is_cut_off(now_s=now_s):
         relay.log.warning("The direct paths to all replicas are lost.")
-        relay.trigger_heartbeat(to_all=True)
+        relay.trigger_heartbeat()
 
 
 def record_direct_connection(relay, address, domain, *, now_s):
@@ -202,7 +208,7 @@
             "The direct path to a replica is restored.", extra={"address": address}
         )
     if was_cut_off:
-        relay.trigger_heartbeat(to_all=True)
+        relay.trigger_heartbeat()
 
 
 def retry_direct_path(relay, address, *, now_s):
@@ -240,7 +246,6 @@
     if lost_since_s is None:
         return False
     return any(
-        peer.tunnel_address == channel.via
-        and is_tunnel_peer(relay, peer, homes=homes, now_s=now_s)
+        peer.tunnel_address == channel.via and is_tunnel_peer(relay, peer, homes=homes)
         for peer in relay.peers.alive(now_s=now_s)
     )
--- a/lycheetide/relay/_tunnels.py
+++ b/lycheetide/relay/_tunnels.py
@@ -7,7 +7,11 @@
 
 from lycheetide.httpclient import Channel, ChannelConnectError, set_socket_options
 from lycheetide.paths import TunnelAnswer, encode_end, encode_frame, read_request
-from lycheetide.relay._dial import find_domain, record_direct_connection
+from lycheetide.relay._dial import (
+    find_domain,
+    record_direct_connection,
+    retry_direct_path,
+)
 from lycheetide.relay._state import read_clock
 
 REQUEST_TIMEOUT_S = 0.5
@@ -114,6 +118,7 @@
     address = request.address
     domain = find_domain(relay, address)
     if relay.paths.lost_since_s(address, domain, now_s=read_clock()) is not None:
+        retry_direct_path(relay, address, now_s=read_clock())
         return TunnelAnswer.CUT_OFF, None
     try:
         channel = await Channel.connect(address, timeout_s=TUNNEL_CONNECT_TIMEOUT_S)
