Cut nodes from replicas in the soak, beside its other faults

The soak's proxies cut a replica from all nodes alike, so it never played a node that reaches no replica while the others do. Nodes now run with their connections passing through standins/links.py, steered by a file: one node, all but one or those of a failure domain are cut from all replicas or from half of them, silently, by resets or by refusals; some cuts come back. The nodes count as undisturbed meanwhile; the check is the rule's own, attempts at nodes that are cut against those at the others.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
     DEMAND_COUNT,
     FAULT_COUNT,
     FAULT_PHASE_S,
+    LINK_CUT_COUNT,
     QUIET_COUNT,
     run_soak,
 )
@@ -27,6 +28,7 @@
     parser.add_argument("--faults", type=int, default=FAULT_COUNT)
     parser.add_argument("--quiets", type=int, default=QUIET_COUNT)
     parser.add_argument("--demands", type=int, default=DEMAND_COUNT)
+    parser.add_argument("--link-cuts", type=int, default=LINK_CUT_COUNT)
     parser.add_argument("--nodes", type=int, default=4)
     args = parser.parse_args()
     first = int(time.time()) if args.first is None else args.first
@@ -57,6 +59,7 @@
         nodes=args.nodes,
         quiets=args.quiets,
         demands=args.demands,
+        link_cuts=args.link_cuts,
     )
 
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -36,6 +36,13 @@
 COLD_RATE_FACTOR = 1.5
 COLD_BURST = 5
 CAUSES_SHOWN = 5
+CUT_SETTLING_S = 2.0
+"""Time after the start of a cut from which on callers of the node are owed service."""
+MIN_CUT_SHARE = 2 / 3
+CUT_FAILURES = 10
+CUT_FAILURE_SHARE = 1 / 50
+"""At nodes that are cut from all replicas, attempts are served at least this share as
+often as at the others, unless no more than these fail there."""
 
 _EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: token (\d+) ([0-9a-f]+)\n\n")
 
@@ -81,6 +88,44 @@
         places = (f"node {attempt.node}", f"replica {replica.name}", "store")
         return not any(self.is_disturbed(place, since_s, at_s) for place in places)
 
+    def find_cut(self, attempt):
+        """Return the cut of its node's links that an attempt met, or None."""
+        return next(
+            (
+                cut
+                for cut in self.faults.cuts
+                if cut.node == attempt.node
+                and cut.from_s <= attempt.ended_s
+                and cut.to_s + SLACK_S >= attempt.started_s
+            ),
+            None,
+        )
+
+    def is_excused_by_cut(self, attempt):
+        """Return whether a cut of its node's links may have ended an attempt.
+
+        Afterwards other nodes carry its connections, until they are disturbed or lose
+        their own links.
+        """
+        cut = self.find_cut(attempt)
+        if cut is None:
+            return False
+        since_s = attempt.started_s - DISTURBANCE_MARGIN_S
+        return (
+            attempt.started_s < cut.from_s + CUT_SETTLING_S
+            or any(
+                one.what.startswith("node ")
+                and one.from_s <= attempt.ended_s
+                and one.to_s >= since_s
+                for one in self.faults.disturbances
+            )
+            or any(
+                attempt.started_s - SLACK_S <= other.from_s <= attempt.ended_s
+                for other in self.faults.cuts
+                if other.node != attempt.node
+            )
+        )
+
 
 def find_violations(record):
     """Yield one line for each violated guarantee."""
@@ -88,7 +133,7 @@
         check_responses, check_executions, check_deadlines, check_forwarding,
         check_cancellation, check_cold_rate, check_unanswered,
         check_interrupted_streams, check_reservations, check_recovery,
-        check_limits, check_rests, check_leaving,
+        check_limits, check_rests, check_leaving, check_cut_nodes,
     ):  # fmt: skip
         yield from check(record)
     for line in record.own_exits:
@@ -193,6 +238,8 @@
     for attempt in record.attempts:
         if attempt.kind != "leave" or attempt.is_complete:
             continue
+        if record.is_excused_by_cut(attempt):
+            continue
         for replica, end_s in ends[attempt.id]:
             late_s = end_s - attempt.ended_s
             if late_s > CANCEL_LIMIT_S + SLACK_S / 2 and record.time_bounds_apply(
@@ -226,6 +273,8 @@
     for attempt in record.attempts:
         if attempt.status or attempt.kind == "leave" or attempt.id not in forwarded:
             continue
+        if record.is_excused_by_cut(attempt):
+            continue
         replica = forwarded[attempt.id][-1][1]
         if attempt.gave_up and _met_silence_or_disturbance(
             record, attempt, forwarded[attempt.id]
@@ -277,6 +326,8 @@
     for attempt in record.attempts:
         if not _was_interrupted(attempt) or attempt.id not in forwarded:
             continue
+        if record.is_excused_by_cut(attempt):
+            continue
         at_s, last = forwarded[attempt.id][-1]
         needed = record.replicas if attempt.kind == "huge" else [last]
         spans = [(f"node {attempt.node}", attempt.started_s - DISTURBANCE_MARGIN_S)]
@@ -360,3 +411,57 @@
                 f"RECOVER {attempt.kind} {attempt.id} at {attempt.node}: "
                 f"status {attempt.status} {attempt.error_text}"
             )
+
+
+def check_cut_nodes(record):
+    """Check that callers of nodes that reach no replica are served like the others.
+
+    Counted are attempts from some time after the start of a cut on, at nodes and in
+    times without any other disturbance of them or of the store.
+    """
+    served = {True: [], False: []}
+    for attempt in record.attempts:
+        if attempt.kind in ("leave", "second_key"):
+            continue
+        begun = [
+            cut
+            for cut in record.faults.cuts
+            if cut.is_from_all
+            and cut.from_s + CUT_SETTLING_S < attempt.started_s < cut.to_s
+        ]
+        since_s = attempt.started_s - DISTURBANCE_MARGIN_S
+        is_disturbed = any(
+            record.is_disturbed(what, since_s, attempt.ended_s)
+            for what in (f"node {attempt.node}", "store")
+        )
+        if not begun or is_disturbed or not _has_sound_node(record, attempt, since_s):
+            continue
+        is_cut = any(cut.node == attempt.node for cut in begun)
+        served[is_cut].append(attempt.is_successful)
+    failures = served[True].count(False)
+    allowed = CUT_FAILURES + CUT_FAILURE_SHARE * len(served[True] + served[False])
+    if not all(served.values()) or failures <= allowed:
+        return
+    cut_share, other_share = (
+        sum(served[is_cut]) / len(served[is_cut]) for is_cut in (True, False)
+    )
+    if cut_share < MIN_CUT_SHARE * other_share:
+        yield (
+            f"RECOVER nodes without links served {sum(served[True])} of"
+            f" {len(served[True])} attempts, the others {sum(served[False])} of"
+            f" {len(served[False])}"
+        )
+
+
+def _has_sound_node(record, attempt, since_s):
+    """Return whether some node had its links and no disturbance during an attempt."""
+    hit = {
+        one.what.removeprefix("node ")
+        for one in record.faults.disturbances
+        if one.from_s <= attempt.ended_s and one.to_s >= since_s
+    } | {
+        cut.node
+        for cut in record.faults.cuts
+        if cut.from_s <= attempt.ended_s and cut.to_s >= since_s
+    }
+    return bool({name for name, _ in record.faults.starts} - hit)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -13,6 +13,7 @@
 import anyio
 import httpx
 
+from soak.node import write_cut
 from soak.proxy import Proxy
 from soak.replicas import COLD_PER_S, RecordingReplica
 from standins.http import LOOPBACK
@@ -45,6 +46,7 @@
 caller_address = {caller}
 readiness_address = {readiness}
 peer_address = {peer}
+tunnel_address = {tunnel}
 store_address = {store}
 [stop]
 stop_s = {stop_s}
@@ -63,6 +65,7 @@
     caller: str
     readiness: str
     peer: str
+    tunnel: str
     folder: Path
     front: Proxy = field(default_factory=Proxy)
     process: subprocess.Popen | None = None
@@ -75,6 +78,11 @@
         """Path of its settings file."""
         return self.folder / f"{self.name}.ini"
 
+    @property
+    def cut_path(self):
+        """Path of the file that names the cut of its links to replicas."""
+        return self.folder / f"{self.name}.cut"
+
     @property
     def has_read_settings(self):
         """Whether its process runs and has read its settings.
@@ -121,7 +129,7 @@
 
     def _make_node(self, index):
         """Return a node whose process has not been started."""
-        ports = [f"{LOOPBACK}:{find_port()}" for _ in range(3)]
+        ports = [f"{LOOPBACK}:{find_port()}" for _ in range(4)]
         domain = FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)]
         return Node(f"entry-{index}", domain, *ports, self.folder)
 
@@ -237,19 +245,31 @@
         node.settings_path.write_text(
             SETTINGS.format(
                 name=node.name, domain=node.domain, caller=node.caller,
-                readiness=node.readiness, peer=node.peer,
+                readiness=node.readiness, peer=node.peer, tunnel=node.tunnel,
                 store=self.store_proxy.address, stop_s=self.stop_s,
                 notice_s=STOP_NOTICE_S,
             )
         )  # fmt: skip
 
+    def cut_links(self, nodes, replicas, *, kind):
+        """Cut some nodes from some replicas, as in ``links.Cut``."""
+        for node in nodes:
+            addresses = [self.replica_proxies[index].address for index in replicas]
+            write_cut(node.cut_path, kind, addresses)
+
+    def heal_links(self, nodes):
+        """End the cuts of some nodes."""
+        for node in nodes:
+            node.cut_path.unlink(missing_ok=True)
+
     def start(self, node):
         """Start the process of a node, with its log in a file."""
         self.write_settings(node)
         node.starts += 1
         self.starts.append((node.name, time.monotonic()))
         node.exit_expected = False
-        command = [sys.executable, "-m", "lycheetide", "node", "--settings"]
+        command = [sys.executable, "-m", "soak.node", str(node.cut_path)]
+        command += ["node", "--settings"]
         with open(self.folder / f"{node.name}.log", "ab") as log:
             node.process = subprocess.Popen(
                 [*command, str(node.settings_path)],
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,7 @@
 ENTRY_RETURN_DELAY_S = 1.0
 TRUNCATED_SETTINGS = "[node]\nname = \nthis is no"
 
+LINK_KINDS = ("silent", "reset", "refused")
 NAMED_LIMITS = ("1.5", "0.4", "1", "0", "4")
 RESTS = ("3", "4.5", "6")
 
@@ -54,6 +55,26 @@
     to_s: float
 
 
+@dataclass(frozen=True)
+class LinkCut:
+    """A period in which a node was cut from replicas.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node.
+    from_s, to_s : float
+        Start and end.
+    is_from_all : bool
+        Whether it was cut from all replicas.
+    """
+
+    node: str
+    from_s: float
+    to_s: float
+    is_from_all: bool
+
+
 class FaultInjector:
     """Injects the faults of one run.
 
@@ -74,6 +95,8 @@
         Failure domain, start and end of each evacuation.
     limits, left : list of Demand
         Periods in which a replica named a limit, and in which it said that it leaves.
+    cuts : list of LinkCut
+        Periods in which a node was cut from replicas.
     """
 
     def __init__(self, deployment):
@@ -84,6 +107,8 @@
         self.closed = []
         self.limits = []
         self.left = []
+        self.cuts = []
+        self._cut_nodes = set()
 
     @property
     def starts(self):
@@ -287,6 +312,48 @@
         is_quiet = replica.limit is None and replica.rest is None
         return not is_ready or not is_quiet or replica.is_leaving
 
+    async def _links_one(self, fault):
+        """Cut one node from replicas."""
+        return await self._cut_links([self._target_node(fault)], fault)
+
+    async def _links_most(self, fault):
+        """Cut all nodes but one from replicas."""
+        spared = self._target_node(fault)
+        nodes = [node for node in self.deployment.nodes if node is not spared]
+        return await self._cut_links(nodes, fault)
+
+    async def _links_domain(self, fault):
+        """Cut the nodes of one failure domain from replicas."""
+        domain = self._target_node(fault).domain
+        nodes = [node for node in self.deployment.nodes if node.domain == domain]
+        return await self._cut_links(nodes, fault)
+
+    async def _cut_links(self, nodes, fault):
+        """Cut nodes from all replicas or from half of them.
+
+        The nodes and the replicas don't count as disturbed. At least one node keeps its
+        links.
+        """
+        deployment = self.deployment
+        nodes = [node for node in nodes if node.name not in self._cut_nodes]
+        if len(self._cut_nodes) + len(nodes) >= len(deployment.nodes):
+            return []
+        count = len(deployment.replicas)
+        is_from_all = (fault.target // 64) % 3 > 0
+        indices = range(count) if is_from_all else range(fault.target % 2, count, 2)
+        kind = LINK_KINDS[(fault.target // 256) % len(LINK_KINDS)]
+        names = {node.name for node in nodes}
+        self._cut_nodes |= names
+        started_s = time.monotonic()
+        deployment.cut_links(nodes, indices, kind=kind)
+        await anyio.sleep(fault.duration_s)
+        deployment.heal_links(nodes)
+        self._cut_nodes -= names
+        self.cuts += [
+            LinkCut(name, started_s, time.monotonic(), is_from_all) for name in names
+        ]
+        return []
+
     async def _limit(self, fault):
         """Make a replica name a limit in its answers for a while."""
         replica, _ = self._target_replica(fault)
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,12 +17,18 @@
 from soak.checks import RunRecord, find_violations
 from soak.deployment import PATIENT_TIMEOUT_MS, STOP_NOTICE_S, STOP_S, Deployment
 from soak.faults import FaultInjector
-from soak.schedule import generate_demands, generate_faults, generate_silences
+from soak.schedule import (
+    generate_demands,
+    generate_faults,
+    generate_link_cuts,
+    generate_silences,
+)
 
 FAULT_PHASE_S = 10.0
 FAULT_COUNT = 14
 QUIET_COUNT = 6
 DEMAND_COUNT = 6
+LINK_CUT_COUNT = 3
 RECOVERY_S = 6.0
 """Time after the last fault from which on every attempt must succeed."""
 CALM_S = 3.0
@@ -62,7 +68,14 @@
 
 
 async def run_soak(
-    seed, *, seconds=FAULT_PHASE_S, count=FAULT_COUNT, nodes=4, quiets=0, demands=0
+    seed,
+    *,
+    seconds=FAULT_PHASE_S,
+    count=FAULT_COUNT,
+    nodes=4,
+    quiets=0,
+    demands=0,
+    link_cuts=0,
 ):
     """Execute one run and check its guarantees.
 
@@ -81,11 +94,14 @@
         repeated ones.
     demands : int
         Number of demands that replicas make in their answers, likewise.
+    link_cuts : int
+        Number of cuts between nodes and replicas, likewise.
     """
     schedule = list(generate_faults(seed, seconds=seconds, count=count))
     schedule += generate_silences(seed, seconds=seconds, count=quiets)
     schedule += generate_demands(seed, seconds=seconds, count=demands)
-    if quiets or demands:
+    schedule += generate_link_cuts(seed, seconds=seconds, count=link_cuts)
+    if quiets or demands or link_cuts:
         schedule.sort(key=lambda fault: fault.at_s)
     kinds, stop_s = CALL_KINDS, STOP_S
     if quiets:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -15,6 +15,11 @@
 """From a short need to one that lasts longer than it takes for all rules to apply."""
 DEMAND_REPEAT_SHARE = 0.5
 """Fraction of the demands that another replica makes at nearly the same time."""
+LINK_FAULTS = ("links_one", "links_most", "links_most", "links_domain")
+LINK_RANGE_S = (2.5, 6.0)
+"""From a cut that is hardly noticed before it ends to one that outlasts all rests."""
+LINK_REPEAT_SHARE = 0.4
+"""Fraction of the cuts that come back soon after they have ended."""
 SILENCE_FAULTS = ("quiet_one", "quiet_some", "quiet_all")
 SILENCE_RANGE_S = (0.4, 1.75)
 """From a gap that nodes always wait out to just below the timeout of callers."""
@@ -103,6 +108,30 @@
     return faults
 
 
+def generate_link_cuts(seed, *, seconds, count):
+    """Return cuts between nodes and replicas, some of which come back soon.
+
+    They use a separate random generator, as silences do.
+
+    Parameters
+    ----------
+    seed, seconds, count
+        As in ``generate_faults``.
+    """
+    rng = random.Random(f"{seed}/links")
+    faults = []
+    for _ in range(count):
+        at_s = rng.uniform(0.0, seconds)
+        kind = rng.choice(LINK_FAULTS)
+        target = rng.randrange(1 << 16)
+        first = Fault(at_s, kind, target, rng.uniform(*LINK_RANGE_S))
+        faults.append(first)
+        if rng.random() < LINK_REPEAT_SHARE:
+            again_s = at_s + first.duration_s + rng.uniform(0.1, 1.0)
+            faults.append(Fault(again_s, kind, target, rng.uniform(0.5, 2.0)))
+    return faults
+
+
 def generate_demands(seed, *, seconds, count):
     """Return demands that replicas make in their answers, some at the same time.
 
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -5,9 +5,9 @@
 import pytest
 
 from soak.callers import Attempt
-from soak.checks import STREAM_EVENTS, RunRecord, find_violations
+from soak.checks import STREAM_EVENTS, RunRecord, check_cut_nodes, find_violations
 from soak.demands import Demand, Turned
-from soak.faults import Disturbance
+from soak.faults import Disturbance, LinkCut
 from soak.replicas import RecordingReplica
 from soak.schedule import SILENCE_RANGE_S, generate_faults, generate_silences
 from standins.replica import RESPONSE_SEAL
@@ -39,6 +39,7 @@
         closed=[],
         limits=[],
         left=[],
+        cuts=[],
         starts=[],
     )
     for name, value in fault_lists.items():
@@ -379,3 +380,39 @@
     attempts = [make_told("server-leaving"), *make_later(1, since_s=since_s)]
     left = [Demand("r-0", 9.9, 30.0)]
     assert find_demand_rules(attempts, left=left, starts=starts) == rules
+
+
+def make_tries(node, served, failed, *, since_s=12.5):
+    """Return attempts at one node, some of them served."""
+    return [
+        make_attempt(
+            id=f"{node}-{place}", node=node, started_s=since_s, ended_s=since_s + 0.2,
+            status=200 if place < served else 503,
+        )
+        for place in range(served + failed)
+    ]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("served", "failed", "fault_lists", "is_reported"),
+    [
+        (4, 28, {}, True),
+        (28, 4, {}, False),
+        (0, 9, {}, False),
+        (4, 28, {"disturbances": make_disturbances("node entry-0")}, False),
+        (4, 28, {"disturbances": make_disturbances("store")}, False),
+        (4, 28, {"cuts": [LinkCut("entry-0", 12.0, 20.0, True)]}, False),
+        (4, 28, {"cuts": [LinkCut("entry-0", 10.0, 20.0, False)]}, False),
+    ],
+)
+def test_nodes_without_links_that_serve_few_are_reported(
+    served, failed, fault_lists, is_reported
+):
+    """Guards against a check that passes whatever nodes without links do."""
+    attempts = make_tries("entry-0", served, failed) + make_tries("entry-1", 98, 1)
+    fields = {
+        "cuts": [LinkCut("entry-0", 10.0, 20.0, True)],
+        "starts": [("entry-0", 0.0), ("entry-1", 0.0)],
+    }
+    lines = check_cut_nodes(make_record(*attempts, **(fields | fault_lists)))
+    assert bool(list(lines)) == is_reported
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from soak.run import DEMAND_COUNT, QUIET_COUNT, run_soak
+from soak.run import DEMAND_COUNT, LINK_CUT_COUNT, QUIET_COUNT, run_soak
 
 FIXED_SEEDS = {
     1: "SIGHUP ended a process that was still loading its libraries",
@@ -40,6 +40,14 @@
     anyio.run(lambda: check(seed, seconds=5.0, count=5, quiets=QUIET_COUNT))
 
 
+def test_short_run_with_cut_links_has_no_violations():
+    """Most nodes lose their links to replicas, then one more does, beside other faults.
+
+    Guards against nodes that lose all links to replicas and serve nobody.
+    """
+    anyio.run(lambda: check(4202, count=3, link_cuts=LINK_CUT_COUNT + 1))
+
+
 def test_short_run_with_demands_of_replicas_has_no_violations():
     """Replicas name limits, ask for rest and leave, beside kills and restarts."""
     anyio.run(lambda: check(39, seconds=5.0, count=5, demands=DEMAND_COUNT))
--- a/standins/links.py
+++ b/standins/links.py
@@ -103,6 +103,7 @@
         self.links = links
         self.node = node
         self.address = address
+        self._held = None
 
     def __getattr__(self, name):
         """Return an attribute of the connection itself."""
@@ -110,8 +111,11 @@
 
     async def receive(self, *size):
         """Return the next bytes."""
-        data = await self.inner.receive(*size)
+        # Kept if the wait is cancelled: a reader may give up and read again later.
+        if self._held is None:
+            self._held = await self.inner.receive(*size)
         await self.links.wait_while_silent(self.node, self.address)
+        data, self._held = self._held, None
         return data
 
     async def send(self, data):
