Choose peers only where the direct path hasn't worked in time

Each new connection listed, shuffled and sorted all living peers, for tunnels that it nearly never asks for; in a fleet of hundreds that takes longer than opening the connection. Paths are drawn one by one now.

--- a/lycheetide/paths/_race.py
+++ b/lycheetide/paths/_race.py
@@ -53,8 +53,9 @@
 
     Parameters
     ----------
-    paths : sequence of Path
-        The paths in the order in which they are tried.
+    paths : iterable of Path
+        The paths in the order in which they are tried. Each is drawn when its turn has
+        come.
     stagger_s : float
         The longest time between two tries, in seconds.
     timeout_s : float
--- a/lycheetide/relay/_dial.py
+++ b/lycheetide/relay/_dial.py
@@ -54,20 +54,26 @@
         If no path works. It is confirmed if a peer with a path to other replicas
         doesn't reach this one either, or if there is no peer to ask.
     """
-    now_s = read_clock()
     domain = find_domain(relay, address)
-    is_lost = relay.paths.lost_since_s(address, domain, now_s=now_s) is not None
-    peers = choose_peers(relay, homes=homes, now_s=now_s)
-    direct = Path("", lambda: Channel.connect(address, timeout_s=timeout_s))
-    tunnels = [make_tunnel_path(relay, peer, address, timeout_s) for peer in peers]
-    paths = [*tunnels, direct] if is_lost else [direct, *tunnels]
-    if first_via is not None:
-        paths.sort(key=lambda path: path.via != first_via)
+    if first_via is None:
+        since_s = relay.paths.lost_since_s(address, domain, now_s=read_clock())
+        is_direct_first = since_s is None
+    else:
+        is_direct_first = first_via == ""
+    paths = list_paths(
+        relay,
+        address,
+        homes=homes,
+        is_direct_first=is_direct_first,
+        first_via=first_via,
+        timeout_s=timeout_s,
+    )
     outcome = await race_paths(paths, stagger_s=STAGGER_S, timeout_s=timeout_s)
     record_outcome(relay, address, domain, outcome, now_s=read_clock())
     if outcome.channel is not None:
         return outcome.channel
-    is_confirmed = not tunnels or any(
+    has_asked = any(outcome.outrun)
+    is_confirmed = not has_asked or any(
         error.is_confirmed for error in outcome.errors.values()
     )
     raise ChannelConnectError(
@@ -75,6 +81,23 @@
     )
 
 
+def list_paths(relay, address, *, homes, is_direct_first, first_via, timeout_s):
+    """Yield the paths to a replica in the order in which they are tried.
+
+    Peers are chosen only when it is their turn: a direct path nearly always works, and
+    in a large fleet the choice takes longer than opening the connection.
+    """
+    direct = Path("", lambda: Channel.connect(address, timeout_s=timeout_s))
+    if is_direct_first:
+        yield direct
+    peers = choose_peers(relay, homes=homes, now_s=read_clock())
+    peers.sort(key=lambda peer: peer.tunnel_address != first_via)
+    for peer in peers:
+        yield make_tunnel_path(relay, peer, address, timeout_s)
+    if not is_direct_first:
+        yield direct
+
+
 def describe_failure(address, outcome):
     """Return the message about a replica that no path reaches."""
     errors = [outcome.errors.get(via, f"{via or address}: no answer in time")
