Let the soak's check see each cut that a stream met

The check for streams that a node breaks off looked at the first cut of the node only, and at none that had ended more than a second before. The bound of each check is as it was.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -38,6 +38,8 @@
 CAUSES_SHOWN = 5
 CUT_SETTLING_S = 2.0
 """Time after the start of a cut from which on callers of the node are owed service."""
+CUT_RETURN_S = 5.0
+"""Time after the end of a cut in which the node may still use other nodes' links."""
 MIN_CUT_SHARE = 2 / 3
 CUT_FAILURES = 10
 CUT_FAILURE_SHARE = 1 / 50
@@ -88,31 +90,25 @@
         places = (f"node {attempt.node}", f"replica {replica.name}", "store")
         return not any(self.is_disturbed(place, since_s, at_s) for place in places)
 
-    def find_cut(self, attempt):
-        """Return the cut of its node's links that an attempt met, or None."""
-        return next(
-            (
-                cut
-                for cut in self.faults.cuts
-                if cut.node == attempt.node
-                and cut.from_s <= attempt.ended_s
-                and cut.to_s + SLACK_S >= attempt.started_s
-            ),
-            None,
-        )
-
     def is_excused_by_cut(self, attempt):
         """Return whether a cut of its node's links may have ended an attempt.
 
-        Afterwards other nodes carry its connections, until they are disturbed or lose
-        their own links.
+        Some time after the start of the cut, and until the node uses its own links
+        again, other nodes carry its connections. They fail if those nodes are disturbed
+        or lose their own links.
         """
-        cut = self.find_cut(attempt)
-        if cut is None:
+        cuts = [
+            cut
+            for cut in self.faults.cuts
+            if cut.node == attempt.node
+            and cut.from_s <= attempt.ended_s
+            and cut.to_s + CUT_RETURN_S >= attempt.started_s
+        ]
+        if not cuts:
             return False
         since_s = attempt.started_s - DISTURBANCE_MARGIN_S
         return (
-            attempt.started_s < cut.from_s + CUT_SETTLING_S
+            any(attempt.started_s < cut.from_s + CUT_SETTLING_S for cut in cuts)
             or any(
                 one.what.startswith("node ")
                 and one.from_s <= attempt.ended_s
