--- a/soak/tests/test_faults.py
+++ b/soak/tests/test_faults.py
@@ -29,7 +29,7 @@
 @pytest.fixture
 def node(tmp_path):
     """Return a node whose process takes a moment to read its settings."""
-    node = Node("n", "", "", "", "", tmp_path)
+    node = Node("n", "", "", "", "", "", tmp_path)
     node.process = subprocess.Popen([sys.executable, "-c", PROGRAM])
     yield node
     node.process.kill()
