Name replica and customer where requests are lost

An answer with a replica's own server error left no line, so a request that failed twice couldn't be traced to its replicas; requests of killed nodes had no customer; the output of a command into a closed pipe ended with a traceback. Each has a line, a field or a handler now, with tests for the last two.

--- a/lycheetide/cli/_main.py
+++ b/lycheetide/cli/_main.py
@@ -5,6 +5,8 @@
 """
 
 import json
+import os
+import sys
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -408,6 +410,11 @@
 
 
 def main():
-    """Run the command line."""
+    """Run the command line; output that nobody reads any more isn't an error."""
     version: cappa.Arg[str] = cappa.Arg(__version__, long=True, help="show the version")
-    cappa.invoke(Lycheetide, version=version)
+    try:
+        cappa.invoke(Lycheetide, version=version)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The interpreter flushes standard output once more when it exits.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
--- a/lycheetide/cli/tests/test_main.py
+++ b/lycheetide/cli/tests/test_main.py
@@ -95,6 +95,23 @@
     assert "did not answer" in gone.stdout + gone.stderr
 
 
+def test_reader_that_closes_the_pipe_early_causes_no_traceback(tmp_path):
+    """Guards against a traceback where output goes to ``head``."""
+    lines = ['{"time": "2026-01-10 05:08:01,000", "message": "Relay: A request ended.",'
+             f' "node": "n1", "request": "r{number}", "outcome": "answered.500",'
+             f' "route": "r{number}"}}\n' for number in range(2_000)]  # fmt: skip
+    log = tmp_path / "n1.log"
+    log.write_text("".join(lines))
+    program = subprocess.Popen(
+        [sys.executable, "-m", "lycheetide", "losses", "--json", str(log)],
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE, cwd=ROOT,
+    )  # fmt: skip
+    program.stdout.read(10)
+    program.stdout.close()
+    assert program.stderr.read() == b""
+    assert program.wait() == 0
+
+
 def test_all_addresses_in_use_are_reported(tmp_path):
     path = write_settings(tmp_path)
     listeners = []
--- a/lycheetide/losses/_detection.py
+++ b/lycheetide/losses/_detection.py
@@ -149,11 +149,10 @@
         names = [name for name, request in self.open.items() if request.node == node]
         for name in names:
             request = self.open.pop(name)
-            replica = (
-                request.placements[-1].fields["replica"] if request.placements else ""
-            )
+            placed = request.placements[-1].fields if request.placements else {}
             yield Loss(
-                name, "", "", replica, request.at_s,
+                name, placed.get("route", ""), placed.get("customer", ""),
+                placed.get("replica", ""), request.at_s,
                 LossKind.UNANSWERED, LossCause.NODE_GONE,
             )  # fmt: skip
 
--- a/lycheetide/losses/tests/test_account.py
+++ b/lycheetide/losses/tests/test_account.py
@@ -145,6 +145,16 @@
     assert (loss.kind, loss.cause, loss.blocking_prompt) == expected
 
 
+def test_request_of_killed_node_names_its_customer():
+    """Guards against losses of a killed node that can't be told by customer."""
+    lines = [
+        make_placement(1.0, "a", route="quick", customer="acme"),
+        make_line(3.0, "The node has started.", member="n1.2"),
+    ]
+    (loss,) = find_losses(*lines)
+    assert (loss.route, loss.customer) == ("quick", "acme")
+
+
 def test_logs_of_several_nodes_are_merged():
     """A short prompt on one node waits for a huge one that another node placed."""
     one = [HUGE_PLACEMENT.replace('"n1"', '"n2"')]
--- a/lycheetide/relay/_buffered.py
+++ b/lycheetide/relay/_buffered.py
@@ -59,6 +59,8 @@
             break
         call.may_have_run = True
         is_success = last_answer[0].status < MIN_SERVER_ERROR_STATUS
+        if not is_success:
+            record_server_error(relay, call, placement, last_answer[0])
         if is_success or not claim_retry(
             relay, call, min_attempt_s=MIN_ANSWER_ATTEMPT_S
         ):
@@ -71,6 +73,22 @@
     await reply.send_whole(answer.status, headers, body)
 
 
+def record_server_error(relay, call, placement, answer):
+    """Count and log an answer with which a replica itself reports an error."""
+    relay.counters.add("attempts.server_error")
+    relay.log.info(
+        "A replica answered with a server error.",
+        extra={
+            "request": call.request.attempt_id,
+            "replica": placement.first.id,
+            "status": answer.status,
+            "sent": call.sent,
+            "writers": placement.first.writers,
+            "slots": placement.first.slots,
+        },
+    )
+
+
 async def choose_placement_or_none(relay, call):
     """Return a placement for a further attempt, or None if there is none.
 
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -223,6 +223,8 @@
         "A prompt is placed.",
         extra={
             "request": call.request.attempt_id,
+            "route": call.route.name,
+            "customer": call.customer.name if call.customer else "",
             "replica": placement.first.id,
             "readers": list_readers(placement),
             "part_ms": round(placement.part_prefill_s * 1e3),
