--- a/lycheetide/cli/tests/test_main.py
+++ b/lycheetide/cli/tests/test_main.py
@@ -106,6 +106,8 @@
         [sys.executable, "-m", "lycheetide", "losses", "--json", str(log)],
         stdout=subprocess.PIPE, stderr=subprocess.PIPE, cwd=ROOT,
     )  # fmt: skip
+    assert program.stdout is not None
+    assert program.stderr is not None
     program.stdout.read(10)
     program.stdout.close()
     assert program.stderr.read() == b""
