Let settings and configuration switch control of capacity on

Control of contended capacity must change nothing for deployments that don't ask for it. The settings now hold the contracts in force and the memory of the process, the configuration the declared delays between domains; from both follows an Activation that is off by default. The messages of the coming parts are declared with it.

--- a/lycheetide/gossip/__init__.py
+++ b/lycheetide/gossip/__init__.py
@@ -22,6 +22,7 @@
 from lycheetide.gossip._messages import (
     MAX_DATAGRAM_BYTES,
     Bundle,
+    Deferred,
     Doubted,
     Ended,
     Heartbeat,
@@ -32,8 +33,10 @@
     RegistryUpdate,
     Started,
     Suspected,
+    Waiting,
     decode_message,
     encode_message,
+    hash_name,
 )
 from lycheetide.gossip._named_limits import NO_LIMIT, LimitTable
 from lycheetide.gossip._paces import PaceTable
@@ -48,6 +51,7 @@
     "REPLICA_RETENTION_S",
     "START_WINDOW_S",
     "Bundle",
+    "Deferred",
     "DelayEstimator",
     "Doubted",
     "Ended",
@@ -70,9 +74,11 @@
     "Started",
     "Suspected",
     "UnreadPart",
+    "Waiting",
     "WaitingRequest",
     "decode_message",
     "encode_message",
+    "hash_name",
     "make_job",
     "make_sent_ms",
     "order_node",
--- a/lycheetide/gossip/_messages.py
+++ b/lycheetide/gossip/_messages.py
@@ -1,6 +1,7 @@
 """Datagrams between nodes."""
 
 import msgspec
+import xxhash
 
 from lycheetide.gossip._lives import Life
 
@@ -29,6 +30,11 @@
     writes: bool = True
 
 
+def hash_name(name):
+    """Return the 32-bit hash by which messages name a customer or a service."""
+    return xxhash.xxh32_intdigest(name.encode()) if name else 0
+
+
 class Started(msgspec.Struct, frozen=True, array_like=True, tag="s"):
     """A node has sent a request.
 
@@ -52,6 +58,8 @@
         Weight of the job, in hundredths of a short request.
     sent_ms : int
         Send time on the sender's clock, from ``make_sent_ms``; below 0 if not given.
+    customer : int
+        Hash of the customer's name, from ``hash_name``; 0 if not given.
     """
 
     node: str
@@ -62,6 +70,7 @@
     gap_ms: int = 0
     weight_hundredths: int = 100
     sent_ms: int = -1
+    customer: int = 0
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True, tag="e"):
@@ -124,6 +133,66 @@
     tokens: int
 
 
+class Waiting(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """A request waits for capacity; repeated for as long as it waits.
+
+    Parameters
+    ----------
+    node, job : str
+        Node that the request waits at, and the id of the entry within that node. The
+        end of the wait is announced by ``Ended``.
+    number : int
+        Its number in the queue.
+    service, customer : int
+        Hashes of their names, from ``hash_name``.
+    engine_ms : int
+        Time that one engine needs for its prefill.
+    tokens : int
+        Size of the KV cache that it needs, in tokens.
+    due_in_ms : int
+        Time from now to the target time of its first event; below 0 if that is past.
+    weight_hundredths : int
+        Weight of the request, in hundredths of a short request.
+    """
+
+    node: str
+    job: str
+    number: int
+    service: int
+    customer: int
+    engine_ms: int
+    tokens: int
+    due_in_ms: int
+    weight_hundredths: int = 100
+
+
+class Deferred(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """A refused request keeps its place in the queue until it returns.
+
+    Parameters
+    ----------
+    node : str
+        Node that refused it.
+    return_key : int
+        64-bit hash by which the nodes recognize the request when it returns.
+    number : int
+        Its number in the queue.
+    due_in_ms : int
+        Time from now to the target time of its first attempt; below 0 if that is past.
+    returns_in_ms : int
+        Time from now at which its caller was told to return.
+    keeps_ms : int
+        Time after that for which it keeps its place.
+    """
+
+    node: str
+    return_key: int
+    number: int
+    due_in_ms: int
+    returns_in_ms: int
+    keeps_ms: int
+
+
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
     """What a replica last said of the requests that it takes.
 
@@ -204,6 +273,9 @@
         Number of connections that it carries at present.
     is_cut_off : bool
         Whether it has lost its own paths to all replicas.
+    memory_stage : int
+        How near the node is to the limit of its memory, a ``MemoryStage``; 0 for not
+        near.
 
     Notes
     -----
@@ -233,6 +305,7 @@
     tunnel_port: int = 0
     tunnels: int = 0
     is_cut_off: bool = False
+    memory_stage: int = 0
 
 
 class RegistryUpdate(msgspec.Struct, frozen=True, array_like=True, tag="c"):
@@ -254,6 +327,11 @@
     returned_age_s: float = -1.0
 
 
+BundledMessage = (
+    Started | Ended | Suspected | Doubted | MemoryWanted | Waiting | Deferred
+)
+
+
 class Bundle(msgspec.Struct, frozen=True, array_like=True, tag="b"):
     """Messages of one or more nodes in one datagram.
 
@@ -261,27 +339,18 @@
     ----------
     node : str
         Node that sends the bundle; the messages may come from others.
-    messages : tuple of Started, Ended, Suspected, Doubted or MemoryWanted
+    messages : tuple of BundledMessage
         The messages.
     must_forward : bool
         Whether the receiver has to forward them within its failure domain.
     """
 
     node: str
-    messages: tuple[Started | Ended | Suspected | Doubted | MemoryWanted, ...]
+    messages: tuple[BundledMessage, ...]
     must_forward: bool = False
 
 
-Message = (
-    Started
-    | Ended
-    | Suspected
-    | Doubted
-    | MemoryWanted
-    | Heartbeat
-    | RegistryUpdate
-    | Bundle
-)
+Message = BundledMessage | Heartbeat | RegistryUpdate | Bundle
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- a/lycheetide/platform/__init__.py
+++ b/lycheetide/platform/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from lycheetide.platform._config import decode_operator_records
+from lycheetide.platform._contracts import has_contended_capacity
 from lycheetide.platform._orders import encode_release, encode_reserve
 from lycheetide.platform._registry import decode_registry_records
 from lycheetide.platform._reports import decode_report, encode_report_request
@@ -40,4 +41,5 @@
     "encode_report_request",
     "encode_reserve",
     "filter_response_headers",
+    "has_contended_capacity",
 ]
--- a/lycheetide/platform/_config.py
+++ b/lycheetide/platform/_config.py
@@ -8,6 +8,7 @@
 from lycheetide.routes import (
     CallerLimits,
     Customer,
+    DomainDelay,
     EngineProfile,
     Route,
     RouteKind,
@@ -18,6 +19,8 @@
 
 CONFIG_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
+MAX_DELAY_MS = 10_000.0
+"""Declared delays from this value on are taken for mistakes and left out."""
 
 _KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -26,6 +29,14 @@
 }
 
 
+class _Delay(msgspec.Struct, frozen=True):
+    """One-way delay between two failure domains."""
+
+    first: str = msgspec.field(name="from", default="")
+    second: str = msgspec.field(name="targetVersion", default="")
+    delay_ms: float = 0.0
+
+
 class _Engine(msgspec.Struct, frozen=True, rename="camel"):
     """The engine of a service; five of its fields have snake-case names in JSON."""
 
@@ -37,6 +48,7 @@
     context_per_k: float = msgspec.field(name="context_per_k", default=0.0)
     read_per_s: float = msgspec.field(name="read_per_s", default=0.0)
     pairs_per_m: float = msgspec.field(name="pairs_per_m", default=0.0)
+    delays: list[_Delay] = []
 
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
@@ -110,6 +122,17 @@
     )
 
 
+def _collect_domain_delays(services):
+    """Return the delays that engines declare, the largest for each pair of domains."""
+    delays_s: dict[tuple[str, str], float] = {}
+    for delay in (one for service in services if service.engine
+                  for one in service.engine.delays):  # fmt: skip
+        pair = min(delay.first, delay.second), max(delay.first, delay.second)
+        if pair[0] != pair[1] and 0.0 <= delay.delay_ms < MAX_DELAY_MS:
+            delays_s[pair] = max(delays_s.get(pair, 0.0), delay.delay_ms / 1e3)
+    return tuple(DomainDelay(*pair, delay_s) for pair, delay_s in delays_s.items())
+
+
 def _make_service(service):
     """Convert a service to the type of this project."""
     return Service(
@@ -173,6 +196,7 @@
             header_s=limits.header_timeout_ms / 1e3,
             idle_s=limits.idle_timeout_ms / 1e3,
         ),
+        domain_delays=_collect_domain_delays(config.services),
     )
 
 
--- a/lycheetide/relay/_apply_records.py
+++ b/lycheetide/relay/_apply_records.py
@@ -10,7 +10,6 @@
     is_registry_reader,
     make_change_messages,
 )
-from lycheetide.routes import RouteTable
 
 STARTUP_S = 2.0
 """How long after its start a node may still take itself for the only one."""
@@ -85,7 +84,7 @@
             relay.route_table is None
             or routing.version > relay.route_table.routing.version
         ):
-            relay.route_table = RouteTable(routing)
+            relay.apply_routing(routing)
             relay.log.info(
                 "A configuration is in force.",
                 extra={"version": routing.version, "offset": record.offset,
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from lycheetide.admission import find_activation
 from lycheetide.gossip import (
     REPLICA_RETENTION_S,
     DelayEstimator,
@@ -114,6 +115,7 @@
         self.metrics_exporter = MetricsExporter(self.counters)
         self.random = random.Random(node)
         self.route_table: RouteTable | None = None
+        self.activation = self._find_activation()
         self.closed: frozenset[str] = frozenset()
         self.operator = TopicState({})
         self.registry = TopicState({})
@@ -157,12 +159,26 @@
     def apply_settings(self, settings):
         """Replace the settings and update what was derived from them."""
         self.settings = settings
+        self.activation = self._find_activation()
         self._idle_candidates.clear()
         for window in self._retry_windows.values():
             window.ratio = settings.retry_ratio
             window.extra = settings.retry_extra
             window.window_s = settings.retry_window_s
 
+    def apply_routing(self, routing):
+        """Replace the routing configuration and update what was derived from it."""
+        self.route_table = RouteTable(routing)
+        self.activation = self._find_activation()
+
+    def _find_activation(self):
+        """Return what the settings and the configuration in force switch on."""
+        return find_activation(
+            self.settings,
+            self.route_table.routing if self.route_table is not None else None,
+            has_contended_capacity=self.adapter.has_contended_capacity,
+        )
+
     def make_store_client(self, purpose):
         """Return a store client that counts its calls under a purpose."""
         return self.adapter.StoreClient(
--- a/lycheetide/routes/_types.py
+++ b/lycheetide/routes/_types.py
@@ -195,6 +195,23 @@
     idle_s: float = 15.0
 
 
+@dataclass(frozen=True)
+class DomainDelay:
+    """Declared network delay between two failure domains.
+
+    Parameters
+    ----------
+    first, second : str
+        Names of the failure domains; the delay is the same both ways.
+    delay_s : float
+        One-way delay in seconds.
+    """
+
+    first: str
+    second: str
+    delay_s: float
+
+
 @dataclass(frozen=True)
 class RoutingConfig:
     """One version of the routing configuration.
@@ -211,6 +228,8 @@
         All customers; None if no route requires a credential.
     limits : CallerLimits
         Limits for all callers.
+    domain_delays : tuple of DomainDelay
+        Declared delays between failure domains; empty if none are declared.
     """
 
     version: int
@@ -218,3 +237,4 @@
     services: tuple[Service, ...]
     customers: tuple[Customer, ...] | None
     limits: CallerLimits = CallerLimits()
+    domain_delays: tuple[DomainDelay, ...] = ()
--- a/lycheetide/settings/_parsers.py
+++ b/lycheetide/settings/_parsers.py
@@ -54,6 +54,17 @@
     return tuple(address(part.strip()) for part in text.split(",") if part.strip())
 
 
+def identifier_list(text):
+    """Parse a comma-separated list of names, which may be empty.
+
+    Examples
+    --------
+    >>> identifier_list("base, retry")
+    ('base', 'retry')
+    """
+    return tuple(identifier(part.strip()) for part in text.split(",") if part.strip())
+
+
 def pairs(text):
     """Parse a comma-separated list of "key:value" pairs, which may be empty.
 
--- a/lycheetide/settings/_relay.py
+++ b/lycheetide/settings/_relay.py
@@ -6,6 +6,7 @@
     address,
     address_list,
     identifier,
+    identifier_list,
     integer_at_least,
     number_between,
     optional_address,
@@ -27,6 +28,8 @@
     ``link_mbps`` is the bandwidth of the host's network link; 0 if it is unknown.
     ``tunnel_address`` is where the node carries connections to replicas for peers that
     don't reach them, at the IP address of ``peer_address``; empty for not at all.
+    ``contracts`` are the parts of the platform's rules that are in force, and
+    ``memory_mb`` is the memory that this process may use; 0 if it is unknown.
     """
 
     name: str
@@ -41,6 +44,8 @@
     seed_addresses: tuple[str, ...] = ()
     domain_regions: tuple[tuple[str, str], ...] = ()
     link_mbps: float = 0.0
+    contracts: tuple[str, ...] = ()
+    memory_mb: float = 0.0
     statsd_address: str = ""
     statsd_prefix: str = "lycheetide"
     log_level: str = "INFO"
@@ -74,6 +79,8 @@
     Field("relay", "seed_addresses", address_list),
     Field("relay", "domain_regions", pairs),
     Field("relay", "link_mbps", number_between(0.0, 1e6)),
+    Field("relay", "contracts", identifier_list),
+    Field("relay", "memory_mb", number_between(0.0, 1e7)),
     Field("relay", "idle_s", number_between(0.5, 3600.0)),
     Field("relay", "operator_wait_s", number_between(0.0, 30.0)),
     Field("relay", "registry_interval_s", number_between(0.05, 60.0)),
