Connect the relay with the queue for contended capacity

Calls that found no placement competed with each other without an order, and almost nothing was refused. Where capacity is contended, a call that waits now announces itself to all nodes, takes a placement only at its turn, and is refused at once if it can't be served in time. A refused request keeps its place by the id of its prompt.

--- a/lycheetide/exchange/_types.py
+++ b/lycheetide/exchange/_types.py
@@ -31,6 +31,9 @@
         Maximum size of the answer; 0 if unknown.
     resume_after : bytes
         Id of the last event that the caller has received in an earlier attempt.
+    prompt_id : str
+        Id of the prompt's own last part, the same in each attempt; empty if the caller
+        gives none.
     """
 
     attempt_id: str
@@ -44,6 +47,7 @@
     prompt_tokens: int
     answer_tokens: int
     resume_after: bytes
+    prompt_id: str = ""
 
     @property
     def path(self):
--- a/lycheetide/gossip/_jobs.py
+++ b/lycheetide/gossip/_jobs.py
@@ -108,6 +108,10 @@
         for part in job.parts:
             self.workloads[part.replica].remove(job, part, now_s=now_s)
 
+    def has_ended(self, node, job_id):
+        """Tell whether the end of a job was announced recently."""
+        return (node, job_id) in self._ended_s
+
     def note_read(self, node, job_id, *, now_s):
         """Record the first event of a job, which shows that its prompt is read."""
         job = self.jobs.get((node, job_id))
--- a/lycheetide/platform/_requests.py
+++ b/lycheetide/platform/_requests.py
@@ -17,6 +17,7 @@
 PRIORITY = b"lycheetide-request-priority"
 TOKENS = b"lycheetide-token-count"
 LENGTH_HINT = b"lycheetide-length-hint"
+PROMPT_PREFIX = b"lycheetide-prompt-prefix"
 SEAL = b"lycheetide-response-seal"
 NOT_EXECUTED = b"lycheetide-not-executed"
 LOAD = b"lycheetide-server-load"
@@ -26,6 +27,8 @@
 RETRY_AFTER = b"retry-after"
 LEAVING = b"server-leaving"
 
+_PROMPT_ID = re.compile(rb"[!-+\--~]{1,128}")
+"""Visible ASCII characters without the comma, which separates entries."""
 _DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -128,6 +131,28 @@
     return int(_parse_number(first)), int(_parse_number(second))
 
 
+def _parse_prompt_id(text):
+    """Return the last entry of a prompt's list of prefixes.
+
+    The last entry names the prompt's own part, those before it the parts that it shares
+    with other prompts.
+
+    Returns
+    -------
+    str
+        Empty if there is no list or its last entry is malformed.
+
+    Examples
+    --------
+    >>> _parse_prompt_id(b"system-a, 51c0")
+    '51c0'
+    >>> _parse_prompt_id(b"system-a,")
+    ''
+    """
+    last = text.rpartition(b",")[2].strip(b" \t")
+    return last.decode("latin-1") if _PROMPT_ID.fullmatch(last) else ""
+
+
 def decode_request(*, method, target, headers, now_s):
     """Decode the head of a caller's request.
 
@@ -170,6 +195,7 @@
         prompt_tokens=prompt_tokens,
         answer_tokens=answer_tokens,
         resume_after=_find_header(headers, RESUME_HEADER),
+        prompt_id=_parse_prompt_id(_find_header(headers, PROMPT_PREFIX)),
     )
 
 
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -8,6 +8,7 @@
 from lycheetide.gossip import Ended, JobPart, Started, make_job, make_sent_ms
 from lycheetide.httpclient import ChannelConnectError, ChannelError, compute_idle_limit
 from lycheetide.placement import Placement
+from lycheetide.relay._admission import find_announced_customer, record_usage
 from lycheetide.relay._call import find_admission_priority
 from lycheetide.relay._dial import CONNECT_TIMEOUT_S, retry_direct_path
 from lycheetide.relay._evidence import record_response, record_unreached
@@ -66,8 +67,10 @@
         gap_ms=round(call.route.target_gap_s * 1e3),
         weight_hundredths=round(call.size.weight * 100),
         sent_ms=make_sent_ms(now_s),
+        customer=find_announced_customer(relay, call),
     )
     relay.job_table.start(make_job(started, now_s=now_s), now_s=now_s)
+    record_usage(relay, started, now_s=now_s)
     relay.broadcast_work(started)
     try:
         yield job_id
--- a/lycheetide/relay/_call.py
+++ b/lycheetide/relay/_call.py
@@ -58,6 +58,9 @@
     paths : dict of str to str
         Path of the latest request to each replica: address of the peer that carries the
         connection, empty for a direct one.
+    queue_place : tuple of (int, float) or None
+        Its number in the queue for capacity and the target time of its first event,
+        kept for all its attempts; None if it hasn't waited.
     """
 
     request: CallerRequest
@@ -76,6 +79,7 @@
     is_begun: bool = False
     has_retry: bool = False
     paths: dict[str, str] = field(default_factory=dict)
+    queue_place: tuple[int, float] | None = None
 
     def list_homes(self):
         """Return lists of regions; a replica must be in each that isn't empty."""
--- a/lycheetide/relay/_datagrams.py
+++ b/lycheetide/relay/_datagrams.py
@@ -10,6 +10,8 @@
     b"e": "work",
     b"b": "work",
     b"w": "work",
+    b"q": "work",
+    b"r": "work",
     b"x": "suspicions",
     b"d": "suspicions",
     b"c": "changes",
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -9,6 +9,7 @@
 from lycheetide.gossip import (
     MAX_DATAGRAM_BYTES,
     Bundle,
+    Deferred,
     Doubted,
     Ended,
     Heartbeat,
@@ -16,11 +17,18 @@
     RegistryUpdate,
     Started,
     Suspected,
+    Waiting,
     WaitingRequest,
     decode_message,
     encode_message,
     make_job,
 )
+from lycheetide.relay._admission import (
+    receive_admission,
+    receive_end,
+    record_usage,
+    refresh_admission,
+)
 from lycheetide.relay._apply_records import apply_peer_changes, record_outage_end
 from lycheetide.relay._broadcast import Broadcaster, is_large_fleet
 from lycheetide.relay._datagrams import classify_datagram, make_sender, receive_all
@@ -330,12 +338,16 @@
         match message:
             case Started():
                 job_table.start(make_job(message, now_s=now_s), now_s=now_s)
+                record_usage(self.relay, message, now_s=now_s)
                 if message.sent_ms >= 0 and message.node != self.relay.node:
                     message_delays = self.relay.message_delays
                     message_delays.note(message.node, message.sent_ms, now_s=now_s)
             case Ended(node, job):
                 job_table.end(node, job, now_s=now_s)
                 self.relay.memory_queue.drop(node, job)
+                receive_end(self.relay, node, job)
+            case Waiting() | Deferred():
+                receive_admission(self.relay, message, now_s=now_s)
             case MemoryWanted(node, job, number, tokens):
                 waiting = WaitingRequest(number, node, job, tokens)
                 self.relay.memory_queue.note(waiting, now_s=now_s)
@@ -372,6 +384,8 @@
         is_new = relay.peers.hear(heartbeat, now_s=now_s)
         self._new_peer_count += is_new
         relay.peers.hear_indirectly(heartbeat.living, now_s=now_s)
+        if heartbeat.is_leaving:
+            relay.admission.queue.drop_nodes({heartbeat.node})
         if heartbeat.operator_offset > relay.operator.offset:
             relay.operator_update.set()
         if heartbeat.jobs is not None:
@@ -441,6 +455,7 @@
             living = self.relay.list_alive_nodes(now_s=now_s)
             dead = self.relay.peers.list_dead(now_s=now_s)
             self.relay.job_table.expire(now_s=now_s, dead=dead)
+            refresh_admission(self.relay, dead=dead, now_s=now_s)
             self.relay.drop_gone_replicas(now_s=now_s)
             self.relay.paces.drop_outdated(now_s=now_s)
             self.relay.message_delays.drop_absent(living)
--- a/lycheetide/relay/_reservations.py
+++ b/lycheetide/relay/_reservations.py
@@ -19,12 +19,14 @@
     count_reservable_tokens,
     needs_several_replicas,
 )
+from lycheetide.relay._admission import UNQUEUED, hold_position
 from lycheetide.relay._evidence import suspect_silent
 from lycheetide.relay._rests import record_rest
 from lycheetide.relay._selection import (
     find_placement,
     is_worthwhile,
     list_candidates,
+    make_placement_refusal,
 )
 from lycheetide.relay._state import read_clock
 from lycheetide.routes import DEFAULT_ENGINE
@@ -89,7 +91,10 @@
     if not needs_several_replicas(engine, call.size.tokens):
         yield ReservedMemory()
         return
-    memory, reservations = await _reserve_all(relay, call, wait_s)
+    reserve_all = _reserve_all
+    if relay.activation.is_contended:
+        reserve_all = _reserve_all_in_turn
+    memory, reservations = await reserve_all(relay, call, wait_s)
     renewal = anyio.CancelScope()
     relay.tasks.start_soon(_renew, relay, reservations, renewal)
     try:
@@ -129,6 +134,43 @@
     )
 
 
+async def _reserve_all_in_turn(relay, call, wait_s):
+    """Reserve all shares when it is the call's turn among all that want capacity.
+
+    Raises
+    ------
+    MemoryUnavailable
+        If the call can't wait.
+    Refusal
+        If its place in the queue is too far behind, or it has waited too long.
+    """
+    begun_s = read_clock()
+    refused_ids: set[str] = set()
+    with hold_position(relay, call, wait_s=wait_s, now_s=begun_s) as position:
+        wait_s = position.find_wait_s(wait_s)
+        while True:
+            admissible, _ = list_candidates(relay, call)
+            if position.has_turn(admissible, now_s=read_clock()):
+                found = await _try_reserve_all(
+                    relay, call, admissible, refused_ids, position
+                )
+                if found is not None:
+                    position.record_served()
+                    return found
+            now_s = read_clock()
+            is_over = now_s - begun_s > wait_s
+            if position is UNQUEUED and is_over:
+                raise MemoryUnavailable(
+                    f"memory for {call.size.tokens} tokens could not be reserved"
+                )
+            if is_over or position.must_leave(admissible, now_s=now_s):
+                raise make_placement_refusal(
+                    relay, call, None, admissible, position=position
+                )
+            position.announce(now_s=now_s)
+            await anyio.sleep(RETRY_PAUSE_S * (0.5 + relay.random.random() / 2))
+
+
 class _QueueEntry:
     """The position of one call among those that wait for memory.
 
@@ -181,7 +223,7 @@
             self.relay.broadcast_work(Ended(self.waiting.node, self.waiting.job))
 
 
-async def _try_reserve_all(relay, call, admissible, refused_ids):
+async def _try_reserve_all(relay, call, admissible, refused_ids, position=UNQUEUED):
     """Return the memory and its reservations, or None if a share was refused.
 
     Parameters
@@ -194,11 +236,15 @@
         Replicas that may take part.
     refused_ids : set of str
         Replicas that refused a share in the last try; replaced by those of this try.
+    position : QueuePosition or UnqueuedPosition
+        The call's position among all that want capacity.
     """
     candidates = [one for one in admissible if one.id not in refused_ids]
     placement = find_placement(relay, call, candidates, now_s=read_clock())
     refused_ids.clear()
-    if not is_worthwhile(call, placement):
+    if not is_worthwhile(call, placement) or not position.accepts(
+        placement, candidates, now_s=read_clock()
+    ):
         return None
     job = relay.make_attempt_name()
     wanted_shares = [
--- a/lycheetide/relay/_retries.py
+++ b/lycheetide/relay/_retries.py
@@ -14,6 +14,7 @@
     NO_ATTEMPTS = "no_attempts"
     NO_BUDGET = "no_budget"
     NO_PLACE = "no_place"
+    NO_TURN = "no_turn"
 
 
 def claim_retry(relay, call, *, min_attempt_s):
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -17,6 +17,7 @@
 from lycheetide.relay._messaging import PeerMessenger, discover
 from lycheetide.relay._paces import follow_paces
 from lycheetide.relay._peer_state import make_peer_app
+from lycheetide.relay._refusals import watch_refusals
 from lycheetide.relay._reload import reload_settings, watch_settings
 from lycheetide.relay._state import RelayState, read_clock
 from lycheetide.relay._tunnels import serve_tunnels
@@ -112,6 +113,7 @@
             messenger.greet,
             messenger.broadcaster.pass_on,
             messenger.expire,
+            watch_refusals,
             watch_settings,
             watch_standstill,
         ):
--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -7,7 +7,6 @@
     MAX_HELPERS,
     SHORT_PREFILL_S,
     Arrivals,
-    caller_patience_s,
     estimate_prefill_s,
     estimate_unknown_requests,
     may_send,
@@ -15,6 +14,13 @@
     place_prompt,
     share_cold_limits,
 )
+from lycheetide.relay._admission import (
+    LOOK_INTERVAL_S,
+    UNQUEUED,
+    bound_retry_delay_s,
+    find_patience_s,
+    hold_position,
+)
 from lycheetide.relay._broadcast import estimate_propagation_s
 from lycheetide.relay._named_limits import list_unconfirmed, make_opening_finder
 from lycheetide.relay._outcomes import Cause, Refusal
@@ -24,8 +30,6 @@
 DEFAULT_RETRY_DELAY_S = 0.5
 """Delay in the Retry-After header when no replica takes work: changes in the registry
 arrive within 1 s."""
-PLACEMENT_POLL_S = 0.04
-"""Interval at which a waiting call looks for a placement again."""
 MAX_WAIT_SHARE = 0.5
 """Longest wait for a placement, as a share of the target time of the first event. A
 call that waited longer is refused, so that its caller can retry in time."""
@@ -210,11 +214,6 @@
     return call.request.received_s + call.route.target_latency_s
 
 
-def find_patience_s(call):
-    """Return how long the caller of a call waits for the next event, in seconds."""
-    return caller_patience_s(call.route.target_latency_s, call.route.target_gap_s)
-
-
 async def choose_placement(relay, call, *, wait_s):
     """Return a placement for a call, waiting for one if necessary.
 
@@ -233,19 +232,28 @@
         If no replica takes the call in time.
     """
     begun_s = read_clock()
-    while True:
-        candidates, usable = list_candidates(relay, call)
-        placement = find_placement(relay, call, candidates, now_s=read_clock())
-        if is_worthwhile(call, placement):
-            return placement
-        opening_s = find_earliest_opening_s(relay, call, usable, now_s=read_clock())
-        is_unservable = opening_s > wait_s and not call.is_begun
-        if is_unservable or read_clock() - begun_s >= wait_s:
-            raise make_placement_refusal(
-                relay, call, placement, candidates,
-                rest_s=0.0 if usable else opening_s,
-            )  # fmt: skip
-        await anyio.sleep(PLACEMENT_POLL_S)
+    with hold_position(relay, call, wait_s=wait_s, now_s=begun_s) as position:
+        wait_s = position.find_wait_s(wait_s)
+        while True:
+            candidates, usable = list_candidates(relay, call)
+            now_s = read_clock()
+            placement = find_placement(relay, call, candidates, now_s=now_s)
+            if is_worthwhile(call, placement) and position.may_take(
+                placement, candidates, now_s=now_s
+            ):
+                position.record_served()
+                return placement
+            opening_s = find_earliest_opening_s(relay, call, usable, now_s=read_clock())
+            is_unservable = opening_s > wait_s and not call.is_begun
+            must_leave = position.must_leave(candidates, now_s=now_s)
+            is_refused = is_unservable or must_leave
+            if is_refused or read_clock() - begun_s >= wait_s:
+                raise make_placement_refusal(
+                    relay, call, placement, candidates,
+                    rest_s=0.0 if usable else opening_s, position=position,
+                )  # fmt: skip
+            position.announce(now_s=now_s)
+            await anyio.sleep(position.look_interval_s)
 
 
 def find_earliest_opening_s(relay, call, usable, *, now_s):
@@ -307,7 +315,9 @@
     return call.is_begun or placement.is_worthwhile(find_patience_s(call))
 
 
-def make_placement_refusal(relay, call, placement, candidates, *, rest_s=0.0):
+def make_placement_refusal(
+    relay, call, placement, candidates, *, rest_s=0.0, position=UNQUEUED
+):
     """Log why a call got no placement, and return its refusal.
 
     Parameters
@@ -322,6 +332,8 @@
         Replicas that the call could have been sent to.
     rest_s : float, default=0
         Time until the first replica has rested, if all do; infinity if none will.
+    position : QueuePosition or UnqueuedPosition
+        The call's position in the queue.
     """
     if placement is not None:
         cause = Cause.NO_ROOM
@@ -333,7 +345,7 @@
     if placement is not None and harm > placement.worth:
         retry_delay_s = max(retry_delay_s, call.route.target_latency_s)
     if 0.0 < rest_s < float("inf"):
-        retry_delay_s = max(rest_s, PLACEMENT_POLL_S)
+        retry_delay_s = max(rest_s, LOOK_INTERVAL_S)
     relay.log.info(
         "A request could not be placed.",
         extra={"request": call.request.attempt_id, "cause": str(cause),
@@ -341,6 +353,14 @@
                "waits_ms": round(prefill_wait_s * 1e3),
                "harm": round(harm, 1), "sent": call.sent},
     )  # fmt: skip
+    retry_delay_s = position.defer(
+        candidates,
+        retry_delay_s=retry_delay_s,
+        is_rest=0.0 < rest_s < float("inf"),
+        now_s=read_clock(),
+    )
+    if relay.activation.is_contended:
+        retry_delay_s = bound_retry_delay_s(call, retry_delay_s, now_s=read_clock())
     return make_refusal(call, cause, retry_delay_s=retry_delay_s)
 
 
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -35,6 +35,7 @@
     RetryWindow,
     rank_replicas,
 )
+from lycheetide.relay._admission import AdmissionState
 from lycheetide.relay._usage import UsageCounter
 from lycheetide.replicas import ReplicaTable, exclude_failed_domains
 from lycheetide.routes import RouteTable
@@ -123,7 +124,7 @@
         self.job_table = JobTable()
         self.failure_detector = FailureDetector()
         self.message_delays = DelayEstimator()
-        self.memory_queue = MemoryQueue()
+        self.memory_queue, self.admission = MemoryQueue(), AdmissionState()
         self.paces = PaceTable()
         self.limits = LimitTable()
         self.rests = RestTable()
--- a/lycheetide/relay/_timeouts.py
+++ b/lycheetide/relay/_timeouts.py
@@ -6,9 +6,10 @@
 """
 
 from lycheetide.placement import caller_patience_s
+from lycheetide.relay._admission import has_earlier_waiting
 from lycheetide.relay._evidence import check_silent_path, suspect_silent
 from lycheetide.relay._path_checks import has_lost_path
-from lycheetide.relay._retries import prepare_next_attempt
+from lycheetide.relay._retries import RetryDenial, prepare_next_attempt
 from lycheetide.relay._state import read_clock
 
 SILENCE_MARGIN_S = 0.7
@@ -45,6 +46,9 @@
     hasn't begun, at a replica taken for dead, is given up, so that its caller is
     answered at once.
 
+    While requests wait whose turn is earlier, a prompt isn't prefilled again elsewhere
+    unless its replica counts as dead: its first prefill has only to wait as well.
+
     Parameters
     ----------
     relay : RelayState
@@ -74,13 +78,18 @@
             return PATH_CHECK_S
         liveness_s = find_liveness_s(relay, replica, now_s=now_s)
         wait_s = min(stream_attempt.at_s + HEDGE_SHARE * patience_s - now_s, liveness_s)
-        if wait_s > 0 and not has_lost_path(relay, replica, via, now_s=now_s):
+        is_cut_off = has_lost_path(relay, replica, via, now_s=now_s)
+        if wait_s > 0 and not is_cut_off:
             return wait_s
         if not hedged_attempts.is_single:
             return RECHECK_S
-        denial = prepare_next_attempt(
-            relay, call, min_attempt_s=MIN_STREAM_ATTEMPT_S, now_s=now_s
-        )
+        is_alive = liveness_s > 0 and not is_cut_off
+        if is_alive and has_earlier_waiting(relay, call, now_s=now_s):
+            denial = RetryDenial.NO_TURN
+        else:
+            denial = prepare_next_attempt(
+                relay, call, min_attempt_s=MIN_STREAM_ATTEMPT_S, now_s=now_s
+            )
         if denial is None:
             if hedges == 0:
                 record_hedge(relay, call, stream_attempt.replica)
@@ -175,7 +184,10 @@
         if is_recorded:
             return
         is_recorded = True
-        suspect_silent(relay, replica, call.paths.get(replica, ""), "silent")
+        if denial is not RetryDenial.NO_TURN:
+            # While requests wait, silence of a replica that is alive shows only its
+            # load, and a suspicion would take it from those that wait.
+            suspect_silent(relay, replica, call.paths.get(replica, ""), "silent")
         relay.counters.add(f"stayed.{denial}")
         relay.log.info(
             "A request keeps waiting for a silent replica.",
