--- /dev/null
+++ b/lycheetide/admission/_wait.py
@@ -0,0 +1,252 @@
+"""Decide whether a waiting request has its turn, and when it will start.
+
+All capacities are compared in the same way: what the candidates have free until some
+time with what the request and those ahead of it need. These are engine-seconds, slots
+and KV cache.
+"""
+
+from dataclasses import dataclass
+
+from lycheetide.admission._kinds import count_readers, find_kind
+from lycheetide.gossip import hash_name
+from lycheetide.placement import MAX_HELPERS, count_reservable_tokens
+
+MIN_HORIZON_S = 0.25
+"""Time within which a request whose target is past should start: the shortest pause
+that callers notice."""
+OWN_KIND_SHARE = 0.2
+"""Part of the capacity that each kind of requests has to itself. The other kinds ahead
+of a request can claim the rest, so that no kind is starved by another."""
+USUAL_ANSWER_S = 4.0
+"""Time for which an answer occupies a slot, where the caller doesn't state it."""
+MIN_PATIENCE_AFTER_DUE_S = 1.5
+"""All callers wait at least this long after their target: they leave after 2 s and
+after 4 times the target at the earliest."""
+MAX_RETRY_SHARE = 1 / 3
+"""Largest part of a caller's remaining time after which it is told to return."""
+MIN_RETRY_SHARE = MAX_RETRY_SHARE / 2
+"""Callers that can't be served soon return after this to ``MAX_RETRY_SHARE`` of their
+remaining time, spread evenly, so that they don't return all at once."""
+MIN_RETRY_AFTER_S = 0.05
+MAX_ROUNDS = 6
+"""Rounds in which the time of the last start is approximated from above."""
+
+
+@dataclass(frozen=True)
+class WaitEstimate:
+    """The expected wait of a request.
+
+    Parameters
+    ----------
+    start_s : float
+        Time at which it is expected to start, on this node's clock; infinity if no
+        replica can take it.
+    is_servable : bool
+        Whether it can have its first event before its caller leaves.
+    retry_after_s : float
+        Time after which its caller should return, if it is refused.
+    """
+
+    start_s: float
+    is_servable: bool
+    retry_after_s: float
+
+
+@dataclass(frozen=True)
+class _Claim:
+    """What a request needs together with those ahead of it."""
+
+    engine_s: float
+    count: float
+    tokens: float
+
+
+def has_turn(
+    request, ahead, candidates, *, now_s, engine=None, answer_s=USUAL_ANSWER_S
+):
+    """Return whether capacity suffices for a request and those ahead of it.
+
+    Parameters
+    ----------
+    request : WaitingRequest
+        The request. Its ``due_s`` is the target; a request that has returned should be
+        given that of its present attempt.
+    ahead : Ahead
+        Requests ahead of it.
+    candidates : sequence of Candidate
+        Replicas that may take it.
+    now_s : float
+        Current time.
+    engine : EngineProfile or None, default=None
+        Performance model of the replicas; None if their memory isn't limited.
+    answer_s : float
+        Time for which an answer occupies a slot, in seconds.
+    """
+    if not candidates:
+        return False
+    if not ahead:
+        return True
+    horizon_s = max(MIN_HORIZON_S, request.due_s - now_s)
+    claim = _make_claim(request, ahead, len(candidates), horizon_s)
+    return (
+        claim.engine_s <= _sum_free_s(candidates, horizon_s)
+        and _find_slot_wait_s(candidates, claim, answer_s) <= horizon_s
+        and _find_memory_wait_s(candidates, claim, engine, answer_s) <= horizon_s
+    )
+
+
+def assess_wait(
+    request,
+    ahead,
+    candidates,
+    *,
+    now_s,
+    engine=None,
+    leaves_s=None,
+    answer_s=USUAL_ANSWER_S,
+):
+    """Return when a request is expected to start, and whether that is in time.
+
+    Parameters
+    ----------
+    request, ahead, candidates, now_s, engine, answer_s
+        As in ``has_turn``.
+    leaves_s : float or None, default=None
+        Time at which its caller leaves without a first event; None if unknown.
+
+    Returns
+    -------
+    WaitEstimate
+    """
+    if leaves_s is None:
+        leaves_s = request.due_s + MIN_PATIENCE_AFTER_DUE_S
+    left_s = max(0.0, leaves_s - now_s)
+    if not candidates:
+        return WaitEstimate(
+            float("inf"), False, _find_retry_after_s(request, float("inf"), left_s)
+        )
+    own_s = request.engine_s / count_readers(len(candidates))
+    finish_s = _find_finish_s(request, ahead, candidates)
+    claim = _make_claim(request, ahead, len(candidates), finish_s)
+    wait_s = max(
+        finish_s - own_s,
+        _find_slot_wait_s(candidates, claim, answer_s),
+        _find_memory_wait_s(candidates, claim, engine, answer_s),
+    )
+    shortest_s = request.engine_s / min(len(candidates), MAX_HELPERS + 1)
+    return WaitEstimate(
+        now_s + wait_s,
+        wait_s + shortest_s < left_s,
+        _find_retry_after_s(request, wait_s, left_s),
+    )
+
+
+def _make_claim(request, ahead, replicas, horizon_s):
+    """Return what a request and those ahead of it need until a time from now.
+
+    A huge prompt can use no more than its usual readers at the same time, so one that
+    takes long doesn't keep the other replicas from requests that need little.
+    """
+    readers = count_readers(replicas)
+    own_kind = find_kind(request.engine_s)
+    own_s = min(request.engine_s, readers * horizon_s)
+    own_count, own_tokens = 1, request.tokens
+    other_s, other_count, other_tokens = 0.0, 0, 0
+    for kind, demand in enumerate(ahead.kinds):
+        usable_s = min(demand.engine_s, demand.count * readers * horizon_s)
+        if kind == own_kind:
+            own_s += usable_s
+            own_count += demand.count
+            own_tokens += demand.tokens
+        else:
+            other_s += usable_s
+            other_count += demand.count
+            other_tokens += demand.tokens
+    return _Claim(
+        _limit_others(own_s, other_s),
+        _limit_others(own_count, other_count),
+        _limit_others(own_tokens, other_tokens),
+    )
+
+
+def _limit_others(own, others):
+    """Return the capacity needed if the other kinds can claim only a part of it."""
+    return min(own + others, own / OWN_KIND_SHARE)
+
+
+def _sum_free_s(candidates, horizon_s):
+    """Return the engine-seconds for which the candidates are free until a time."""
+    return sum(
+        (horizon_s - one.backlog_s) / one.pace
+        for one in candidates
+        if one.backlog_s < horizon_s
+    )
+
+
+def _find_finish_s(request, ahead, candidates):
+    """Return after how long a request and those ahead of it can be prefilled.
+
+    The claim grows with the time that is looked at. So the time is first found for the
+    whole claim, and then for what can be used until then.
+    """
+    readers = count_readers(len(candidates))
+    steps = sorted((one.backlog_s, one.pace) for one in candidates)
+    finish_s = float("inf")
+    for _ in range(MAX_ROUNDS):
+        claim = _make_claim(request, ahead, len(candidates), finish_s)
+        found_s = _find_time_s(steps, claim.engine_s)
+        if found_s >= finish_s - 1e-3:
+            break
+        finish_s = found_s
+    return max(finish_s, request.engine_s / readers)
+
+
+def _find_time_s(steps, engine_s):
+    """Return after how long replicas have been free for some engine-seconds together.
+
+    Parameters
+    ----------
+    steps : list of (float, float)
+        Backlog and pace of each replica, the smallest backlog first.
+    engine_s : float
+        Engine-seconds needed.
+    """
+    rate = 0.0
+    # Replicas that are free at a time t have been so for rate * t - offset_s.
+    offset_s = 0.0
+    for backlog_s, pace in steps:
+        if rate and rate * backlog_s - offset_s >= engine_s:
+            break
+        rate += 1.0 / pace
+        offset_s += backlog_s / pace
+    return (engine_s + offset_s) / rate
+
+
+def _find_slot_wait_s(candidates, claim, answer_s):
+    """Return after how long there are slots for a claim."""
+    slots = sum(one.slots for one in candidates)
+    free = sum(max(0, one.slots - one.writers) for one in candidates)
+    if claim.count <= free:
+        return 0.0
+    return (claim.count - free) * answer_s / slots if slots else float("inf")
+
+
+def _find_memory_wait_s(candidates, claim, engine, answer_s):
+    """Return after how long there is KV cache for a claim.
+
+    Memory is assumed to become free at the rate at which answers end.
+    """
+    if engine is None or not engine.kv_tokens:
+        return 0.0
+    missing = claim.tokens - count_reservable_tokens(engine, candidates)
+    if missing <= 0:
+        return 0.0
+    used = sum(one.kv_tokens for one in candidates)
+    return missing * answer_s / used if used else float("inf")
+
+
+def _find_retry_after_s(request, wait_s, left_s):
+    """Return after how long a caller with some time left should return."""
+    draw = hash_name(f"{request.node}/{request.job}") / 2**32
+    latest_s = (MIN_RETRY_SHARE + draw * (MAX_RETRY_SHARE - MIN_RETRY_SHARE)) * left_s
+    return min(max(wait_s, MIN_RETRY_AFTER_S), latest_s)
