--- a/lycheetide/relay/_admission.py
+++ b/lycheetide/relay/_admission.py
@@ -9,6 +9,7 @@
 from collections import Counter, deque
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
+from functools import cached_property
 
 from lycheetide.admission import (
     ENTRY_LIFETIME_S,
@@ -54,8 +55,8 @@
 LEAVING_RETRY_S = 0.1
 """Retry-After of a leaving node: the other nodes know of the place by then."""
 MAX_WAIT_SHARE = 0.5
-"""Longest wait, as a share of the caller's patience. A request that waited longer
-seldom has its first event before its caller disconnects."""
+"""Longest wait, as a share of the time until the caller leaves. A request that waited
+longer seldom has its first event before that."""
 MIN_ANSWER_S = 0.1
 USUAL_WRITERS = 4
 """Requests that decode at a replica whose slots are nearly all in use."""
@@ -176,9 +177,6 @@
         self.relay = relay
         self.call = call
         self.state = relay.admission
-        self.customer = find_customer(call)
-        self.engine = call.service.engine or DEFAULT_ENGINE
-        self.answer_s = estimate_answer_s(self.engine, call.size.answer_tokens)
         self.begun_s = now_s
         self.look_interval_s = LOOK_INTERVAL_S
         self.announced_s = float("-inf")
@@ -188,6 +186,21 @@
         self._is_over_share = False
         self._ahead: tuple[float, Ahead] = (float("-inf"), NOBODY_AHEAD)
 
+    @cached_property
+    def customer(self):
+        """Hash of the customer's name."""
+        return find_customer(self.call)
+
+    @cached_property
+    def engine(self):
+        """Performance model of the service's replicas."""
+        return self.call.service.engine or DEFAULT_ENGINE
+
+    @cached_property
+    def answer_s(self):
+        """Time for which the answer occupies a slot, in seconds."""
+        return estimate_answer_s(self.engine, self.call.size.answer_tokens)
+
     def has_turn(self, candidates, *, now_s):
         """Tell whether the capacity suffices for the call and all requests ahead of it.
 
@@ -238,21 +251,23 @@
 
     def find_wait_s(self, wait_s):
         """Return the longest wait of the call, which may be longer than ``wait_s``."""
-        until_s = self.call.request.received_s + MAX_WAIT_SHARE * find_patience_s(
-            self.call
-        )
-        return max(wait_s, until_s - self.begun_s)
+        received_s = self.call.request.received_s
+        share_s = MAX_WAIT_SHARE * (find_leave_s(self.call) - received_s)
+        return max(wait_s, received_s + share_s - self.begun_s)
 
     def must_leave(self, candidates, *, now_s):
         """Tell whether the call must be refused now, by its place or its node.
 
         A call that may have run is never refused by its place: its caller couldn't be
-        told that it hasn't run.
+        told that it hasn't run. Where no replica takes a request at present, as while
+        all of them are cold, the queue tells nothing about the wait.
         """
         if self.call.may_have_run:
             return False
         if self.relay.is_leaving:
             return True
+        if not candidates:
+            return False
         estimate, _ = self._assess(candidates, now_s=now_s)
         return not estimate.is_servable
 
@@ -291,7 +306,8 @@
         candidates : list of Candidate
             Replicas that the call could have been sent to.
         retry_delay_s : float
-            Retry-After where the estimate gives none.
+            Retry-After where the queue doesn't tell it: after a wait that took longer
+            than estimated, a return at the estimated time would be too early.
         is_rest : bool, default=False
             Whether that is when replicas have rested, which the estimate doesn't know.
         now_s : float
@@ -303,11 +319,11 @@
         estimate, ahead = self._assess(candidates, now_s=now_s)
         if self.relay.is_leaving:
             retry_delay_s = LEAVING_RETRY_S
-        elif not is_rest and math.isfinite(estimate.retry_after_s):
+        elif candidates and not is_rest and not estimate.is_servable:
             retry_delay_s = estimate.retry_after_s
         delay_s = bound_retry_delay_s(self.call, retry_delay_s, now_s=now_s)
         self.state.note_refusal(self.customer, now_s=now_s)
-        self.state.watched.append((self.call, waiting))
+        self.state.watched.append((replace(self.call, body=b""), waiting))
         if not self._is_announced:
             self.relay.counters.add("admission.refused_at_once")
         returns_s = now_s + delay_s
