Measure the candidates in one pass per decision

Several sums over the candidates took most of a decision: 0.23 to 0.32 ms in the median for list_ahead, has_turn and assess_wait together, with 1,000 waiting requests and 78 candidates.

--- a/lycheetide/admission/_queue.py
+++ b/lycheetide/admission/_queue.py
@@ -9,10 +9,10 @@
 step. So a node derives the same step from a message that is half a step late.
 """
 
-from bisect import bisect_left, insort
+from bisect import bisect_left
 from collections import defaultdict
 from dataclasses import dataclass, field
-from itertools import accumulate, islice
+from itertools import accumulate
 
 from lycheetide.admission._clock import SharedClock
 from lycheetide.admission._kinds import KINDS, count_readers, find_kind
@@ -53,28 +53,30 @@
     ----------
     orders : list of tuple
         Sort keys.
-    requests : dict
-        Requests by sort key.
+    engine_s, tokens : list
+        Demand of the request at each position.
     engine_sums, token_sums : list
         Sums over the requests before each position, as far as they are up to date.
     """
 
-    orders: list = field(default_factory=list)
-    requests: dict = field(default_factory=dict)
+    orders: list[tuple] = field(default_factory=list)
+    engine_s: list[float] = field(default_factory=list)
+    tokens: list[int] = field(default_factory=list)
     engine_sums: list[float] = field(default_factory=lambda: [0.0])
     token_sums: list[int] = field(default_factory=lambda: [0])
 
     def add(self, order, request):
         """Insert a request."""
-        insort(self.orders, order)
-        self.requests[order] = request
-        self._truncate_sums(bisect_left(self.orders, order))
+        place = bisect_left(self.orders, order)
+        self.orders.insert(place, order)
+        self.engine_s.insert(place, request.engine_s)
+        self.tokens.insert(place, request.tokens)
+        self._truncate_sums(place)
 
     def remove(self, order):
         """Remove a request."""
         place = bisect_left(self.orders, order)
-        del self.orders[place]
-        del self.requests[order]
+        del self.orders[place], self.engine_s[place], self.tokens[place]
         self._truncate_sums(place)
 
     def sum_ahead(self, order):
@@ -82,19 +84,8 @@
         count = len(self.orders) if order is None else bisect_left(self.orders, order)
         known = len(self.engine_sums) - 1
         if count > known:
-            added = [self.requests[one] for one in islice(self.orders, known, count)]
-            self.engine_sums += islice(
-                accumulate(
-                    (one.engine_s for one in added), initial=self.engine_sums[-1]
-                ),
-                1,
-                None,
-            )
-            self.token_sums += islice(
-                accumulate((one.tokens for one in added), initial=self.token_sums[-1]),
-                1,
-                None,
-            )
+            _extend_sums(self.engine_sums, self.engine_s[known:count])
+            _extend_sums(self.token_sums, self.tokens[known:count])
         return KindDemand(count, self.engine_sums[count], self.token_sums[count])
 
     def _truncate_sums(self, place):
@@ -103,6 +94,12 @@
         del self.token_sums[place + 1 :]
 
 
+def _extend_sums(sums, values):
+    """Append the cumulative sums of further values."""
+    last = sums.pop()
+    sums.extend(accumulate(values, initial=last))
+
+
 class AdmissionQueue:
     """All requests that wait for capacity, as far as this node knows.
 
--- a/lycheetide/admission/_wait.py
+++ b/lycheetide/admission/_wait.py
@@ -5,11 +5,12 @@
 and KV cache.
 """
 
+from bisect import bisect_left
 from dataclasses import dataclass
 
 from lycheetide.admission._kinds import count_readers, find_kind
 from lycheetide.gossip import hash_name
-from lycheetide.placement import MAX_HELPERS, count_reservable_tokens
+from lycheetide.placement import MAX_HELPERS, MAX_MEMORY_SHARE
 
 MIN_HORIZON_S = 0.25
 """Time within which a request whose target is past should start: the shortest pause
@@ -28,7 +29,8 @@
 """Callers that can't be served soon return after this to ``MAX_RETRY_SHARE`` of their
 remaining time, spread evenly, so that they don't return all at once."""
 MIN_RETRY_AFTER_S = 0.05
-MAX_ROUNDS = 6
+TIME_TOLERANCE_S = 0.005
+MAX_ROUNDS = 4
 """Rounds in which the time of the last start is approximated from above."""
 
 
@@ -52,6 +54,32 @@
     retry_after_s: float
 
 
+@dataclass(frozen=True)
+class _Supply:
+    """What the candidates have free.
+
+    Parameters
+    ----------
+    backlogs : list of (float, float)
+        Prefill backlog and pace of each replica.
+    slots, free_slots : int
+        All slots, and those that are free.
+    used_tokens, free_tokens : float
+        KV cache in use, and what waiting requests may have of the rest.
+    """
+
+    backlogs: list[tuple[float, float]]
+    slots: int
+    free_slots: int
+    used_tokens: float
+    free_tokens: float
+
+    @property
+    def replicas(self):
+        """Number of replicas."""
+        return len(self.backlogs)
+
+
 @dataclass(frozen=True)
 class _Claim:
     """What a request needs together with those ahead of it."""
@@ -87,11 +115,12 @@
     if not ahead:
         return True
     horizon_s = max(MIN_HORIZON_S, request.due_s - now_s)
-    claim = _make_claim(request, ahead, len(candidates), horizon_s)
+    supply = _measure_supply(candidates, engine)
+    claim = _make_claim(request, ahead, supply.replicas, horizon_s)
     return (
-        claim.engine_s <= _sum_free_s(candidates, horizon_s)
-        and _find_slot_wait_s(candidates, claim, answer_s) <= horizon_s
-        and _find_memory_wait_s(candidates, claim, engine, answer_s) <= horizon_s
+        claim.engine_s <= _sum_free_s(supply, horizon_s)
+        and _find_slot_wait_s(supply, claim, answer_s) <= horizon_s
+        and _find_memory_wait_s(supply, claim, answer_s) <= horizon_s
     )
 
 
@@ -125,13 +154,14 @@
         return WaitEstimate(
             float("inf"), False, _find_retry_after_s(request, float("inf"), left_s)
         )
-    own_s = request.engine_s / count_readers(len(candidates))
-    finish_s = _find_finish_s(request, ahead, candidates)
-    claim = _make_claim(request, ahead, len(candidates), finish_s)
+    supply = _measure_supply(candidates, engine)
+    own_s = request.engine_s / count_readers(supply.replicas)
+    finish_s = max(own_s, _find_finish_s(request, ahead, supply))
+    claim = _make_claim(request, ahead, supply.replicas, finish_s)
     wait_s = max(
         finish_s - own_s,
-        _find_slot_wait_s(candidates, claim, answer_s),
-        _find_memory_wait_s(candidates, claim, engine, answer_s),
+        _find_slot_wait_s(supply, claim, answer_s),
+        _find_memory_wait_s(supply, claim, answer_s),
     )
     shortest_s = request.engine_s / min(len(candidates), MAX_HELPERS + 1)
     return WaitEstimate(
@@ -153,6 +183,8 @@
     own_count, own_tokens = 1, request.tokens
     other_s, other_count, other_tokens = 0.0, 0, 0
     for kind, demand in enumerate(ahead.kinds):
+        if not demand.count:
+            continue
         usable_s = min(demand.engine_s, demand.count * readers * horizon_s)
         if kind == own_kind:
             own_s += usable_s
@@ -174,75 +206,97 @@
     return min(own + others, own / OWN_KIND_SHARE)
 
 
-def _sum_free_s(candidates, horizon_s):
-    """Return the engine-seconds for which the candidates are free until a time."""
+def _measure_supply(candidates, engine):
+    """Return what replicas have free, in one pass over them."""
+    # One loop instead of a sum for each field: these take most of a decision's time.
+    memory = engine.kv_tokens if engine is not None else 0
+    slots = free_slots = used_tokens = free_tokens = 0
+    backlogs = []
+    for one in candidates:
+        slots += one.slots
+        if one.writers < one.slots:
+            free_slots += one.slots - one.writers
+        used_tokens += one.kv_tokens
+        if one.kv_tokens < memory:
+            free_tokens += memory - one.kv_tokens
+        backlogs.append((one.backlog_s, one.pace))
+    return _Supply(
+        backlogs,
+        slots,
+        free_slots,
+        used_tokens,
+        MAX_MEMORY_SHARE * free_tokens if memory else float("inf"),
+    )
+
+
+def _sum_free_s(supply, horizon_s):
+    """Return the engine-seconds for which replicas are free until a time."""
     return sum(
-        (horizon_s - one.backlog_s) / one.pace
-        for one in candidates
-        if one.backlog_s < horizon_s
+        [
+            (horizon_s - backlog_s) / pace
+            for backlog_s, pace in supply.backlogs
+            if backlog_s < horizon_s
+        ]
     )
 
 
-def _find_finish_s(request, ahead, candidates):
+def _find_finish_s(request, ahead, supply):
     """Return after how long a request and those ahead of it can be prefilled.
 
     The claim grows with the time that is looked at. So the time is first found for the
     whole claim, and then for what can be used until then.
     """
-    readers = count_readers(len(candidates))
-    steps = sorted((one.backlog_s, one.pace) for one in candidates)
+    find_time_s = _make_time_finder(supply)
     finish_s = float("inf")
     for _ in range(MAX_ROUNDS):
-        claim = _make_claim(request, ahead, len(candidates), finish_s)
-        found_s = _find_time_s(steps, claim.engine_s)
-        if found_s >= finish_s - 1e-3:
+        claim = _make_claim(request, ahead, supply.replicas, finish_s)
+        found_s = find_time_s(claim.engine_s)
+        if found_s >= finish_s - TIME_TOLERANCE_S:
             break
         finish_s = found_s
-    return max(finish_s, request.engine_s / readers)
+    return finish_s
 
 
-def _find_time_s(steps, engine_s):
-    """Return after how long replicas have been free for some engine-seconds together.
+def _make_time_finder(supply):
+    """Return a function from engine-seconds to the time until replicas have them free.
 
-    Parameters
-    ----------
-    steps : list of (float, float)
-        Backlog and pace of each replica, the smallest backlog first.
-    engine_s : float
-        Engine-seconds needed.
+    Once the first replicas are done with their backlog, they have been free for
+    ``rate * t - offset`` engine-seconds at a time t.
     """
-    rate = 0.0
-    # Replicas that are free at a time t have been so for rate * t - offset_s.
-    offset_s = 0.0
-    for backlog_s, pace in steps:
-        if rate and rate * backlog_s - offset_s >= engine_s:
-            break
+    rate = offset_s = 0.0
+    free_s, lines = [], []
+    for backlog_s, pace in sorted(supply.backlogs):
+        free_s.append(rate * backlog_s - offset_s)
         rate += 1.0 / pace
         offset_s += backlog_s / pace
-    return (engine_s + offset_s) / rate
+        lines.append((rate, offset_s))
 
+    def find_time_s(engine_s):
+        rate, offset_s = lines[max(0, bisect_left(free_s, engine_s) - 1)]
+        return (engine_s + offset_s) / rate
 
-def _find_slot_wait_s(candidates, claim, answer_s):
+    return find_time_s
+
+
+def _find_slot_wait_s(supply, claim, answer_s):
     """Return after how long there are slots for a claim."""
-    slots = sum(one.slots for one in candidates)
-    free = sum(max(0, one.slots - one.writers) for one in candidates)
-    if claim.count <= free:
+    missing = claim.count - supply.free_slots
+    if missing <= 0:
         return 0.0
-    return (claim.count - free) * answer_s / slots if slots else float("inf")
+    return missing * answer_s / supply.slots if supply.slots else float("inf")
 
 
-def _find_memory_wait_s(candidates, claim, engine, answer_s):
+def _find_memory_wait_s(supply, claim, answer_s):
     """Return after how long there is KV cache for a claim.
 
     Memory is assumed to become free at the rate at which answers end.
     """
-    if engine is None or not engine.kv_tokens:
-        return 0.0
-    missing = claim.tokens - count_reservable_tokens(engine, candidates)
+    missing = claim.tokens - supply.free_tokens
     if missing <= 0:
         return 0.0
-    used = sum(one.kv_tokens for one in candidates)
-    return missing * answer_s / used if used else float("inf")
+    if not supply.used_tokens:
+        return float("inf")
+    return missing * answer_s / supply.used_tokens
 
 
 def _find_retry_after_s(request, wait_s, left_s):
--- a/lycheetide/placement/__init__.py
+++ b/lycheetide/placement/__init__.py
@@ -22,6 +22,7 @@
     estimate_prefill_s,
 )
 from lycheetide.placement._memory import (
+    MAX_MEMORY_SHARE,
     count_reservable_tokens,
     needs_several_replicas,
     share_memory,
@@ -43,6 +44,7 @@
 
 __all__ = [
     "MAX_HELPERS",
+    "MAX_MEMORY_SHARE",
     "MIN_CALLER_PATIENCE_S",
     "ON_TIME_SHARE",
     "PROPAGATION_DELAY_S",
