--- a/lycheetide/admission/__init__.py
+++ b/lycheetide/admission/__init__.py
@@ -10,6 +10,7 @@
 from lycheetide.admission._messages import (
     make_deferred_message,
     make_waiting_message,
+    make_withdrawal_message,
     read_deferred_message,
     read_waiting_message,
 )
@@ -58,6 +59,7 @@
     "make_deferred_message",
     "make_return_key",
     "make_waiting_message",
+    "make_withdrawal_message",
     "read_deferred_message",
     "read_waiting_message",
 ]
--- a/lycheetide/admission/_clock.py
+++ b/lycheetide/admission/_clock.py
@@ -19,8 +19,6 @@
         return max(self._last + 1, int((now_s + self.shift_s) * 1e3))
 
     def observe(self, number, *, now_s):
-        """Record a number; return by how many seconds the time was set forward."""
+        """Record a number, and set the time forward if it is behind."""
         self._last = max(self._last, number)
-        step_s = max(0.0, number / 1e3 - (now_s + self.shift_s))
-        self.shift_s += step_s
-        return step_s
+        self.shift_s = max(self.shift_s, number / 1e3 - now_s)
--- a/lycheetide/admission/_messages.py
+++ b/lycheetide/admission/_messages.py
@@ -3,6 +3,8 @@
 Messages state times relative to when they are sent, since the nodes' clocks differ.
 """
 
+from dataclasses import replace
+
 from lycheetide.admission._errors import InvalidMessage
 from lycheetide.admission._returns import DeferredRequest
 from lycheetide.admission._types import WaitingRequest
@@ -85,9 +87,6 @@
 def make_deferred_message(node, deferred, *, now_s):
     """Return the message that announces a request refused by a node.
 
-    A place that is no longer kept is announced with ``keeps_ms`` 0, so that no other
-    node gives it away again.
-
     Parameters
     ----------
     node : str
@@ -109,6 +108,16 @@
     )
 
 
+def make_withdrawal_message(node, claimed, *, now_s):
+    """Return the message by which other nodes give up a place that was claimed.
+
+    It is a ``Deferred`` message that keeps the place for no time. Parameters as in
+    ``make_deferred_message``.
+    """
+    given_up = replace(claimed, returns_s=now_s, kept_until_s=now_s)
+    return make_deferred_message(node, given_up, now_s=now_s)
+
+
 def read_deferred_message(message, *, now_s):
     """Return the refused request that a ``Deferred`` message announces.
 
--- a/lycheetide/admission/_queue.py
+++ b/lycheetide/admission/_queue.py
@@ -112,6 +112,7 @@
     def __init__(self, usage=None):
         self._usage = usage
         self._clock = SharedClock()
+        self._sorted_shift_s = 0.0
         self._entries: dict[tuple[str, str], _Entry] = {}
         self._lines: dict[tuple[int, bool, int], _Line] = {}
         self._replicas: dict[int, int] = {}
@@ -124,11 +125,6 @@
     def __len__(self):
         return len(self._entries)
 
-    @property
-    def capacity_s(self):
-        """Engine-seconds that all known replicas can prefill in the usage window."""
-        return estimate_capacity_s(sum(self._replicas.values()))
-
     def next_number(self, *, now_s=None):
         """Return the number for a request that starts to wait.
 
@@ -140,7 +136,7 @@
         return self._clock.next_number(now_s=self._now_s if now_s is None else now_s)
 
     def note_replicas(self, service, replicas):
-        """Record the number of a service's replicas.
+        """Record the number of a service's replicas, where they prefill prompts.
 
         The order depends on it, so it should be the number in the registry, which is
         the same at all nodes, and not that of the candidates for a call.
@@ -148,6 +144,9 @@
         known = self._replicas.get(service, 0)
         self._replicas[service] = replicas
         if count_readers(known) != count_readers(replicas):
+            for entry in self._entries.values():
+                if entry.request.service == service:
+                    entry.start_s = self._find_start_s(entry.request)
             self._sort_again(lambda one: one.service == service)
 
     def note(self, waiting, *, now_s):
@@ -173,7 +172,9 @@
             return True
         if len(self._entries) >= MAX_ENTRIES:
             return False
-        if self._clock.observe(waiting.number, now_s=now_s) > CLOCK_TOLERANCE_S:
+        self._clock.observe(waiting.number, now_s=now_s)
+        if self._clock.shift_s - self._sorted_shift_s > CLOCK_TOLERANCE_S:
+            self._sorted_shift_s = self._clock.shift_s
             self._sort_again(lambda one: True)
         start_s = self._find_start_s(waiting)
         order = self._find_order(waiting, start_s)
@@ -308,8 +309,11 @@
         self._above_since_s = now_s
         above: frozenset[int] = frozenset()
         if self._wanted_s and self._replicas:
+            capacity_s = estimate_capacity_s(
+                sum(self._replicas.values()), self._usage.total_s(now_s=now_s)
+            )
             above = self._usage.list_above_share(
-                capacity_s=self.capacity_s, now_s=now_s, waiting=self._wanted_s
+                capacity_s=capacity_s, now_s=now_s, waiting=self._wanted_s
             )
         changed = above ^ self._above
         self._above = above
@@ -322,7 +326,8 @@
         for entry in affected:
             entry.line.remove(entry.order)
         for entry in affected:
-            entry.start_s = self._find_start_s(entry.request)
+            # Keeps the latest start that was announced, the middle of a step: another
+            # node that sets its time forward as well finds the same step.
             entry.order = self._find_order(entry.request, entry.start_s)
             entry.line = self._find_line(entry.request)
             entry.line.add(entry.order, entry.request)
--- a/lycheetide/admission/_returns.py
+++ b/lycheetide/admission/_returns.py
@@ -13,6 +13,7 @@
 PROMPT_TAIL_BYTES = 2048
 """Part of the prompt that identifies it. Prompts share their beginning, so the end is
 used."""
+SWEEP_INTERVAL_S = 0.5
 MAX_PLACES = 20_000
 """Places that are kept; further refused requests return as new ones."""
 
@@ -94,7 +95,7 @@
         key, number = deferred.return_key, deferred.number
         if deferred.kept_until_s <= deferred.returns_s:
             self._remove(key, number, now_s=now_s)
-        elif key and (key, number) not in self._claimed_s and self._count < MAX_PLACES:
+        elif key and not self._is_outdated(deferred) and self._count < MAX_PLACES:
             places = self._places.setdefault(key, {})
             self._count += number not in places
             places[number] = deferred
@@ -102,6 +103,8 @@
     def claim(self, return_key, *, now_s):
         """Return the place of a request that has returned, and give it up.
 
+        The other nodes have to be told, by ``make_withdrawal_message``.
+
         Returns
         -------
         DeferredRequest or None
@@ -127,9 +130,20 @@
             for one in self._places.get(return_key, {}).values()
         )
 
+    def _is_outdated(self, deferred):
+        """Return whether a place was given up after it was announced.
+
+        A request that returned and was refused again returns later than that.
+        """
+        claimed_s = self._claimed_s.get((deferred.return_key, deferred.number))
+        return (
+            claimed_s is not None
+            and deferred.returns_s <= claimed_s + EARLY_TOLERANCE_S
+        )
+
     def _remove(self, key, number, *, now_s):
         """Give up a place, also if the message that announces it is yet to come."""
-        self._claimed_s[key, number] = now_s + KEPT_S
+        self._claimed_s[key, number] = now_s
         places = self._places.get(key, {})
         if places.pop(number, None) is not None:
             self._count -= 1
@@ -137,8 +151,8 @@
             self._places.pop(key, None)
 
     def _sweep(self, now_s):
-        """Forget places that are no longer kept, at most twice a second."""
-        if now_s - self._swept_s < 0.5:
+        """Forget places that are no longer kept."""
+        if now_s - self._swept_s < SWEEP_INTERVAL_S:
             return
         self._swept_s = now_s
         self._places = {
@@ -148,5 +162,7 @@
         }
         self._count = sum(map(len, self._places.values()))
         self._claimed_s = {
-            key: until_s for key, until_s in self._claimed_s.items() if until_s > now_s
+            key: claimed_s
+            for key, claimed_s in self._claimed_s.items()
+            if now_s - claimed_s < KEPT_S
         }
--- a/lycheetide/admission/_shares.py
+++ b/lycheetide/admission/_shares.py
@@ -9,13 +9,26 @@
 JOB_RETENTION_S = 2.0
 """How long the jobs whose usage was added are remembered. Two hubs may deliver a
 message twice, in less time than this."""
-PREFILL_SHARE = 0.6
-"""Part of a replica's time that prefill may take; decoding takes the rest."""
+MIN_LOADED_SHARE = 0.25
+"""Fleets use about this part of their replicas' time for prefill while no request waits
+for capacity. Below it, requests wait for other reasons than load."""
 
 
-def estimate_capacity_s(replicas):
-    """Return the engine-seconds that replicas can prefill in the usage window."""
-    return PREFILL_SHARE * USAGE_WINDOW_S * replicas
+def estimate_capacity_s(replicas, used_s=float("inf")):
+    """Return the engine-seconds that replicas can prefill in the usage window.
+
+    How much time decoding takes isn't known. While requests wait for capacity, what
+    all customers have used shows how much there is.
+
+    Parameters
+    ----------
+    replicas : int
+        Number of replicas.
+    used_s : float, default=inf
+        Usage of all customers while requests wait.
+    """
+    full_s = USAGE_WINDOW_S * replicas
+    return min(full_s, max(MIN_LOADED_SHARE * full_s, used_s))
 
 
 def find_share_s(demands_s, capacity_s):
@@ -95,6 +108,10 @@
         level_s, at_s = self._levels.get(customer, (0.0, now_s))
         return level_s * exp(-max(0.0, now_s - at_s) / USAGE_WINDOW_S)
 
+    def total_s(self, *, now_s):
+        """Return the usage of all customers in engine-seconds."""
+        return sum(self.usage_s(one, now_s=now_s) for one in self._levels)
+
     def is_above_share(self, customer, *, capacity_s, now_s, waiting=None):
         """Return whether a customer has used more than its share.
 
--- a/lycheetide/admission/_wait.py
+++ b/lycheetide/admission/_wait.py
@@ -13,8 +13,10 @@
 from lycheetide.placement import MAX_HELPERS, MAX_MEMORY_SHARE
 
 MIN_HORIZON_S = 0.25
-"""Time within which a request whose target is past should start: the shortest pause
-that callers notice."""
+LATE_HORIZON_S = 1.0
+"""Time within which a request should start that is late or has less than
+``MIN_HORIZON_S`` left. Callers wait for 1.5 s after their target at least. With 0.25 s,
+late middle prompts were starved by huge ones, whose callers wait longer."""
 OWN_KIND_SHARE = 0.2
 """Part of the capacity that each kind of requests has to itself. The other kinds ahead
 of a request can claim the rest, so that no kind is starved by another."""
@@ -28,10 +30,11 @@
 MIN_RETRY_SHARE = MAX_RETRY_SHARE / 2
 """Callers that can't be served soon return after this to ``MAX_RETRY_SHARE`` of their
 remaining time, spread evenly, so that they don't return all at once."""
-MIN_RETRY_AFTER_S = 0.05
+MIN_RETRY_AFTER_S = 0.1
+"""Shorter delays are within the tolerance for early returns."""
 TIME_TOLERANCE_S = 0.005
 MAX_ROUNDS = 4
-"""Rounds in which the time of the last start is approximated from above."""
+"""Rounds in which the time of a start is approximated from above."""
 
 
 @dataclass(frozen=True)
@@ -82,9 +85,18 @@
 
 @dataclass(frozen=True)
 class _Claim:
-    """What a request needs together with those ahead of it."""
+    """What a request needs together with those ahead of it.
+
+    Parameters
+    ----------
+    engine_s, ahead_s : float
+        Engine-seconds of all, and of those ahead of it alone.
+    count, tokens : float
+        Number of slots, and tokens of KV cache.
+    """
 
     engine_s: float
+    ahead_s: float
     count: float
     tokens: float
 
@@ -114,13 +126,14 @@
         return False
     if not ahead:
         return True
-    horizon_s = max(MIN_HORIZON_S, request.due_s - now_s)
+    left_s = request.due_s - now_s
+    horizon_s = left_s if left_s >= MIN_HORIZON_S else LATE_HORIZON_S
     supply = _measure_supply(candidates, engine)
     claim = _make_claim(request, ahead, supply.replicas, horizon_s)
     return (
         claim.engine_s <= _sum_free_s(supply, horizon_s)
         and _find_slot_wait_s(supply, claim, answer_s) <= horizon_s
-        and _find_memory_wait_s(supply, claim, answer_s) <= horizon_s
+        and claim.tokens <= supply.free_tokens
     )
 
 
@@ -155,11 +168,9 @@
             float("inf"), False, _find_retry_after_s(request, float("inf"), left_s)
         )
     supply = _measure_supply(candidates, engine)
-    own_s = request.engine_s / count_readers(supply.replicas)
-    finish_s = max(own_s, _find_finish_s(request, ahead, supply))
-    claim = _make_claim(request, ahead, supply.replicas, finish_s)
+    engine_wait_s, claim = _find_engine_wait_s(request, ahead, supply)
     wait_s = max(
-        finish_s - own_s,
+        engine_wait_s,
         _find_slot_wait_s(supply, claim, answer_s),
         _find_memory_wait_s(supply, claim, answer_s),
     )
@@ -179,7 +190,7 @@
     """
     readers = count_readers(replicas)
     own_kind = find_kind(request.engine_s)
-    own_s = min(request.engine_s, readers * horizon_s)
+    requested_s = own_s = min(request.engine_s, readers * horizon_s)
     own_count, own_tokens = 1, request.tokens
     other_s, other_count, other_tokens = 0.0, 0, 0
     for kind, demand in enumerate(ahead.kinds):
@@ -194,8 +205,10 @@
             other_s += usable_s
             other_count += demand.count
             other_tokens += demand.tokens
+    engine_s = _limit_others(own_s, other_s)
     return _Claim(
-        _limit_others(own_s, other_s),
+        engine_s,
+        max(0.0, engine_s - requested_s),
         _limit_others(own_count, other_count),
         _limit_others(own_tokens, other_tokens),
     )
@@ -208,7 +221,7 @@
 
 def _measure_supply(candidates, engine):
     """Return what replicas have free, in one pass over them."""
-    # One loop instead of a sum for each field: these take most of a decision's time.
+    # One loop instead of a sum for each field: it takes much of a decision's time.
     memory = engine.kv_tokens if engine is not None else 0
     slots = free_slots = used_tokens = free_tokens = 0
     backlogs = []
@@ -240,26 +253,35 @@
     )
 
 
-def _find_finish_s(request, ahead, supply):
-    """Return after how long a request and those ahead of it can be prefilled.
+def _find_engine_wait_s(request, ahead, supply):
+    """Return after how long those ahead of a request leave it engine time.
+
+    What they claim grows with the time that is looked at. So the time is first found
+    for all that they need, and then for what they can use until then.
 
-    The claim grows with the time that is looked at. So the time is first found for the
-    whole claim, and then for what can be used until then.
+    Returns
+    -------
+    wait_s : float
+        The time.
+    claim : _Claim
+        The claim until then.
     """
-    find_time_s = _make_time_finder(supply)
-    finish_s = float("inf")
+    claim = _make_claim(request, ahead, supply.replicas, float("inf"))
+    find_time_s = _make_time_finder(supply, claim.ahead_s)
+    wait_s = find_time_s(claim.ahead_s)
     for _ in range(MAX_ROUNDS):
-        claim = _make_claim(request, ahead, supply.replicas, finish_s)
-        found_s = find_time_s(claim.engine_s)
-        if found_s >= finish_s - TIME_TOLERANCE_S:
+        claim = _make_claim(request, ahead, supply.replicas, wait_s)
+        last_s, wait_s = wait_s, min(wait_s, find_time_s(claim.ahead_s))
+        if wait_s >= last_s - TIME_TOLERANCE_S:
             break
-        finish_s = found_s
-    return finish_s
+    return wait_s, claim
 
 
-def _make_time_finder(supply):
+def _make_time_finder(supply, limit_s):
     """Return a function from engine-seconds to the time until replicas have them free.
 
+    It is used for at most ``limit_s`` engine-seconds.
+
     Once the first replicas are done with their backlog, they have been free for
     ``rate * t - offset`` engine-seconds at a time t.
     """
@@ -267,6 +289,8 @@
     free_s, lines = [], []
     for backlog_s, pace in sorted(supply.backlogs):
         free_s.append(rate * backlog_s - offset_s)
+        if free_s[-1] > limit_s:
+            break
         rate += 1.0 / pace
         offset_s += backlog_s / pace
         lines.append((rate, offset_s))
