Read from replicas independently of slow callers, and bound the node's memory

A caller that stopped reading left its replica's answer unread, and nothing bounded what a node held. If capacity is contended, a reply holds up to 256 KiB for a caller, and the node's use of memory decides on readiness, refusals and aborts.

--- a/lycheetide/gossip/_peers.py
+++ b/lycheetide/gossip/_peers.py
@@ -52,6 +52,8 @@
         Number of connections that it carries.
     is_cut_off : bool
         Whether it has lost its own paths to all replicas.
+    memory_stage : int
+        How near it is to the limit of its memory; 0 for not near.
     """
 
     node: str
@@ -68,6 +70,7 @@
     tunnel_port: int = 0
     tunnels: int = 0
     is_cut_off: bool = False
+    memory_stage: int = 0
 
     @property
     def tunnel_address(self):
@@ -137,6 +140,7 @@
             tunnel_port=heartbeat.tunnel_port,
             tunnels=heartbeat.tunnels,
             is_cut_off=heartbeat.is_cut_off,
+            memory_stage=heartbeat.memory_stage,
         )
         if is_new:
             self.last_new_peer_s = now_s
--- a/lycheetide/httpclient/_channel.py
+++ b/lycheetide/httpclient/_channel.py
@@ -4,11 +4,15 @@
 import select
 import socket
 from dataclasses import dataclass
+from itertools import chain
 
 import anyio
 import h11
 
 RECEIVE_BYTES = 65_536
+WRITE_BYTES = 65_536
+"""Size of the slices in which a long body is written, if it isn't joined with its head:
+the event loop copies what the system doesn't take at once."""
 MAX_HEAD_BYTES = 65_536
 TCP_USER_TIMEOUT_MS = 3_000
 """The connection is closed when sent bytes or keep-alive probes stay unacknowledged for
@@ -64,6 +68,12 @@
     """A request to send.
 
     A Content-Length header is added if the body isn't empty or ``has_body`` is set.
+
+    Parameters
+    ----------
+    joins_body : bool
+        Whether head and body are sent as one block. If not, a long body isn't copied,
+        neither here nor by the event loop.
     """
 
     method: bytes
@@ -71,6 +81,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes = b""
     has_body: bool = False
+    joins_body: bool = True
 
 
 @dataclass(frozen=True)
@@ -233,7 +244,7 @@
         raise ChannelError(message, is_silent=True)
 
     def _encode(self, outgoing):
-        """Return the serialized request."""
+        """Return the blocks of the serialized request."""
         headers = list(outgoing.headers)
         if outgoing.body or outgoing.has_body:
             headers.append((b"Content-Length", str(len(outgoing.body)).encode()))
@@ -247,13 +258,17 @@
             parts.append(self._parser.send(h11.EndOfMessage()))
         except h11.LocalProtocolError as error:
             raise ChannelError(f"invalid request: {error}") from error
-        return b"".join(part for part in parts if part)
+        if not outgoing.joins_body and len(outgoing.body) > WRITE_BYTES:
+            # With a declared length, a body is sent as it is.
+            return chain(parts[:1], _cut(outgoing.body))
+        return [b"".join(part for part in parts if part)]
 
-    async def _write(self, data):
+    async def _write(self, blocks):
         """Send a request; an error is noticed when the response is read."""
         self.is_written = True
         try:
-            await self.stream.send(data)
+            for block in blocks:
+                await self.stream.send(block)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
             self._write_error = error
         except BaseException:
@@ -361,6 +376,12 @@
             await self.stream.aclose()
 
 
+def _cut(body):
+    """Yield a body in slices."""
+    for begin in range(0, len(body), WRITE_BYTES):
+        yield body[begin : begin + WRITE_BYTES]
+
+
 def set_socket_options(stream):
     """Let the kernel detect connections that are lost without a reset."""
     sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
--- a/lycheetide/metrics/__init__.py
+++ b/lycheetide/metrics/__init__.py
@@ -2,7 +2,7 @@
 
 from lycheetide.metrics._counters import Counters, make_statsd_client
 from lycheetide.metrics._logs import COMPONENT_PREFIXES, configure_logging, get_logger
-from lycheetide.metrics._process import read_process_age_s
+from lycheetide.metrics._process import read_process_age_s, read_resident_bytes
 from lycheetide.metrics._request_log import (
     STANDARD_FIELDS,
     describe_outcome,
@@ -23,5 +23,6 @@
     "make_statsd_client",
     "read_process_age_s",
     "read_request_lines",
+    "read_resident_bytes",
     "sort_by_time",
 ]
--- a/lycheetide/metrics/_process.py
+++ b/lycheetide/metrics/_process.py
@@ -1,4 +1,4 @@
-"""Age of this process as recorded by the operating system."""
+"""Age and size of this process as recorded by the operating system."""
 
 import os
 
@@ -23,3 +23,18 @@
         return max(0.0, up_s - started_s)
     except (OSError, ValueError, IndexError):
         return None
+
+
+def read_resident_bytes():
+    """Return the memory that this process occupies, in bytes.
+
+    Returns
+    -------
+    int or None
+        None where /proc isn't available.
+    """
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+    except (OSError, ValueError, IndexError):
+        return None
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -1,7 +1,7 @@
 """Send a request to one replica and read the head of its answer."""
 
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from lycheetide.exchange import ReplicaResponse
@@ -146,6 +146,8 @@
         urgency=find_admission_priority(call),
         resume_after=resume_after or call.request.resume_after,
     )
+    if relay.activation.held_limit_bytes > 0:
+        outgoing = replace(outgoing, joins_body=False)
     channel, head, sent_s = await exchange_head(
         relay, call, first, outgoing, head_timeout_s=head_timeout_s, more=more
     )
--- a/lycheetide/relay/_ingress.py
+++ b/lycheetide/relay/_ingress.py
@@ -3,11 +3,15 @@
 import anyio
 import msgspec
 
+from lycheetide.relay._memory import HeldBody
 from lycheetide.relay._outcomes import CallerDisconnected, Cause, Refusal, StreamAborted
 from lycheetide.relay._reply import Reply
 from lycheetide.relay._serve import make_call, serve_call, wait_for_initial_state
 from lycheetide.relay._state import read_clock
 
+DISCARD_BODY_S = 0.5
+"""How long the rest of a refused body is read: 0.6 MB on a link of 10 Mbit/s."""
+
 
 def make_caller_app(relay):
     """Return the ASGI application that serves callers.
@@ -38,7 +42,12 @@
     error: Exception | None = CallerDisconnected()
     try:
         async with anyio.create_task_group() as group:
-            error = await answer_request(relay, request, reply, watcher, group)
+            held_body = None
+            if relay.activation.is_contended:
+                held_body = HeldBody(relay, request, find_body_size(scope["headers"]))
+            error = await answer_request(
+                relay, request, reply, watcher, group, held_body
+            )
             group.cancel_scope.cancel()
     finally:
         relay.active -= 1
@@ -49,15 +58,20 @@
         raise error
 
 
-async def answer_request(relay, request, reply, watcher, group):
+async def answer_request(relay, request, reply, watcher, group, held_body):
     """Serve a request; return the error that ended it, or None."""
     try:
-        body = await read_body(relay, watcher.receive)
+        body = await read_body(relay, watcher.receive, held_body)
         group.start_soon(watcher.run, group.cancel_scope)
         await wait_for_initial_state(relay, request)
-        await serve_call(relay, make_call(relay, request, body), reply)
+        call = make_call(relay, request, body)
+        if held_body is not None:
+            held_body.assign(call.customer.name if call.customer else "")
+        await serve_call(relay, call, reply)
         return None
     except Refusal as refusal:
+        if refusal.cause is Cause.NODE_MEMORY:
+            return await refuse(relay, request, refusal, reply, unread=watcher.receive)
         return await refuse(relay, request, refusal, reply)
     except (StreamAborted, CallerDisconnected) as error:
         return error
@@ -70,6 +84,9 @@
         if reply.is_started:
             return StreamAborted(repr(fault))
         return await refuse(relay, request, Refusal(500, Cause.INTERNAL), reply)
+    finally:
+        if held_body is not None:
+            held_body.release()
 
 
 def decode_head(relay, scope):
@@ -85,16 +102,35 @@
     )
 
 
-async def read_body(relay, receive):
+def find_body_size(headers):
+    """Return the declared size of a body; 0 if it isn't declared."""
+    for name, value in headers:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return 0
+
+
+async def read_body(relay, receive, held_body=None):
     """Return the whole body of a request.
 
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    receive : callable
+        The ASGI ``receive`` function.
+    held_body : HeldBody or None
+        Counts the body, and refuses it if memory is short.
+
     Raises
     ------
     CallerDisconnected
         If the caller disconnected before the body was complete.
     Refusal
-        If the body is too large.
+        If the body is too large, or the node has no memory for it.
     """
+    if held_body is not None:
+        held_body.check(now_s=read_clock())
     max_bytes = (
         relay.route_table.routing.limits.body_bytes if relay.route_table else 1 << 22
     )
@@ -106,6 +142,8 @@
             raise CallerDisconnected
         parts.append(message.get("body", b""))
         size += len(parts[-1])
+        if held_body is not None:
+            held_body.add(len(parts[-1]), now_s=read_clock())
         if size > max_bytes:
             raise Refusal(413, Cause.BODY_TOO_LARGE)
         if not message.get("more_body", False):
@@ -131,9 +169,22 @@
             scope.cancel()
 
 
-async def refuse(relay, request, refusal, reply):
+async def refuse(relay, request, refusal, reply, *, unread=None):
     """Answer a request on behalf of this node; return the refusal.
 
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    request : CallerRequest
+        The request.
+    refusal : Refusal
+        The answer.
+    reply : Reply
+        Writes to the caller.
+    unread : callable or None
+        The ASGI ``receive`` function, if the body wasn't read to its end.
+
     Returns
     -------
     Refusal or CallerDisconnected
@@ -144,12 +195,31 @@
     )
     body = msgspec.json.encode({"error": str(refusal.cause)})
     try:
-        await reply.send_whole(refusal.status, headers, body)
+        if unread is None:
+            await reply.send_whole(refusal.status, headers, body)
+        else:
+            await reply.start(refusal.status, headers, length=len(body))
+            await reply.write(body)
+            await discard_body(unread)
+            await reply.end()
     except CallerDisconnected as disconnected:
         return disconnected
     return refusal
 
 
+async def discard_body(receive):
+    """Read the rest of a refused body for a while, without keeping it.
+
+    If the connection were closed before, the system would reset it, and a caller that
+    still sends its body would lose the answer.
+    """
+    with anyio.move_on_after(DISCARD_BODY_S):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect" or not message.get("more_body"):
+                return
+
+
 def record_end(relay, request, reply, error):
     """Count and log the outcome of a request."""
     now_s = read_clock()
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -24,6 +24,7 @@
 from lycheetide.relay._apply_records import apply_peer_changes, record_outage_end
 from lycheetide.relay._broadcast import Broadcaster, is_large_fleet
 from lycheetide.relay._datagrams import classify_datagram, make_sender, receive_all
+from lycheetide.relay._memory import update_memory
 from lycheetide.relay._named_limits import merge_limits
 from lycheetide.relay._peer_state import fetch_registry
 from lycheetide.relay._rests import record_peer_doubt
@@ -288,6 +289,7 @@
             tunnel_port=relay.tunnels.port,
             tunnels=relay.tunnels.count,
             is_cut_off=relay.paths.is_cut_off(now_s=now_s),
+            memory_stage=int(update_memory(relay, now_s=now_s)),
         )
         return msgspec.structs.replace(
             heartbeat, limits=self._sample_limits(heartbeat, now_s=now_s)
@@ -369,6 +371,7 @@
         relay = self.relay
         if heartbeat.node == relay.node:
             return
+        self._log_memory_stage(heartbeat)
         is_new = relay.peers.hear(heartbeat, now_s=now_s)
         self._new_peer_count += is_new
         relay.peers.hear_indirectly(heartbeat.living, now_s=now_s)
@@ -399,6 +402,16 @@
             )
             self.send(encode_message(reply), heartbeat.address)
 
+    def _log_memory_stage(self, heartbeat):
+        """Log once that a peer's memory has reached another stage."""
+        known = self.relay.peers.peers.get(heartbeat.address)
+        before = known.memory_stage if known is not None else 0
+        if heartbeat.memory_stage != before:
+            self.relay.log.info(
+                "A peer reports another stage of its memory.",
+                extra={"peer": heartbeat.node, "stage": heartbeat.memory_stage},
+            )
+
     def _list_peer_addresses(self, *, now_s):
         """Return the addresses to send to a new node: the hubs, and a sample of others.
 
--- a/lycheetide/relay/_outcomes.py
+++ b/lycheetide/relay/_outcomes.py
@@ -14,6 +14,7 @@
     NO_REPLICA = "no_replica"
     NO_MEMORY = "no_memory"
     NO_ROOM = "no_room"
+    NODE_MEMORY = "node_memory"
     LIMITED = "limited"
     RESTING = "resting"
     LEAVING = "leaving"
--- a/lycheetide/relay/_serve.py
+++ b/lycheetide/relay/_serve.py
@@ -13,6 +13,7 @@
 )
 from lycheetide.relay._state import read_clock
 from lycheetide.relay._stream import serve_stream
+from lycheetide.relay._writer import serve_buffered_reply
 from lycheetide.routes import CustomerNotFound, RouteKind, RouteNotFound
 
 INITIAL_STATE_POLL_S = 0.01
@@ -90,7 +91,10 @@
     )
     serve = serve_stream if call.route.kind is RouteKind.STREAM else serve_buffered
     with anyio.move_on_after(max(0.0, call.remaining_s(now_s=now_s))) as scope:
-        await serve(relay, call, reply)
+        if relay.activation.is_contended:
+            await serve_buffered_reply(relay, call, reply, serve)
+        else:
+            await serve(relay, call, reply)
     if not scope.cancelled_caught:
         return
     if reply.is_started:
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -10,6 +10,7 @@
 import anyio
 
 from lycheetide.admission import find_activation
+from lycheetide.buffering import MemoryStage
 from lycheetide.gossip import (
     REPLICA_RETENTION_S,
     DelayEstimator,
@@ -35,6 +36,7 @@
     RetryWindow,
     rank_replicas,
 )
+from lycheetide.relay._memory import NodeMemory, update_memory
 from lycheetide.relay._usage import UsageCounter
 from lycheetide.replicas import ReplicaTable, exclude_failed_domains
 from lycheetide.routes import RouteTable
@@ -137,7 +139,7 @@
         self.stall_detector = StallDetector()
         self.started_s = read_clock()
         self.used = UsageCounter(now_s=self.started_s)
-        self.active = 0
+        self.active, self.memory = 0, NodeMemory()
         self.is_leaving = False
         self.stop_requested = anyio.Event()
         self.tasks = None
@@ -326,10 +328,13 @@
 
         It must have a configuration and replicas, and must recently have heard from the
         store or a peer. A node that hears from neither can't know which keys, replicas
-        or failure domains were removed since.
+        or failure domains were removed since. Nor may it be near the limit of its
+        memory.
         """
         if self.is_leaving or self.route_table is None or not self.replicas.replicas:
             return False
+        if update_memory(self, now_s=now_s) is not MemoryStage.NORMAL:
+            return False
         last_heard_s = max(
             [
                 self.operator.complete_until_s,
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import anyio
 
@@ -53,6 +54,8 @@
         End of the longest pause, in seconds since the request arrived.
     write_lock : anyio.Lock
         Held while writing to the caller, since attempts may run concurrently.
+    record : callable or None
+        Records that an event was written to the caller's connection.
     """
 
     last_id: bytes = b""
@@ -63,6 +66,7 @@
     longest_pause_s: float = 0.0
     longest_pause_at_s: float = 0.0
     write_lock: anyio.Lock = field(default_factory=anyio.Lock)
+    record: Callable[[float, float], None] | None = None
 
 
 @dataclass
@@ -101,6 +105,7 @@
         If the stream broke off after a part was sent, and can't be resumed.
     """
     progress = Progress()
+    progress.record = partial(record_event, relay, call, progress)
     try:
         await _forward_with_retries(relay, call, reply, progress)
     finally:
@@ -294,9 +299,9 @@
             )
         for event in splitter.split(data):
             async with progress.write_lock:
-                await _forward_event(
-                    relay, call, reply, progress, stream_attempt, event
-                )
+                await _forward_event(reply, progress, stream_attempt, event)
+            # While the reading waited for the caller, the replica wasn't silent.
+            stream_attempt.at_s = max(stream_attempt.at_s, reply.waited_until_s)
             pace = relay.paces.pace(stream_attempt.replica, now_s=stream_attempt.at_s)
             event_timeout_s = SILENCE_MARGIN_S + pace * estimate_pass_s(engine, 1)
     if splitter.rest.strip():
@@ -305,7 +310,7 @@
         )
 
 
-async def _forward_event(relay, call, reply, progress, stream_attempt, event):
+async def _forward_event(reply, progress, stream_attempt, event):
     """Forward one event unless the caller has received it already.
 
     Raises
@@ -325,21 +330,39 @@
                 may_have_run=True,
             )
     stream_attempt.cancel_others()
-    await reply.write(event.data)
-    now_s = read_clock()
+    await reply.write(event.data, progress.record)
+    if event.id:
+        progress.last_id = event.id
+        progress.last_number = number
+
+
+def record_event(relay, call, progress, started_s, ended_s):
+    """Record that an event was written to the caller's connection.
+
+    A pause is the time from the end of one write to the start of the next: the time
+    that a write takes because the caller doesn't read isn't a pause of the stream.
+
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    call : Call
+        The request.
+    progress : Progress
+        What was forwarded so far.
+    started_s, ended_s : float
+        When the write began and ended.
+    """
     if progress.events == 0:
-        progress.first_event_s = now_s - call.request.received_s
+        progress.first_event_s = started_s - call.request.received_s
         relay.metrics_exporter.observe(
             "first_event", progress.first_event_s, kind="stream"
         )
     else:
-        pause_s = now_s - progress.forwarded_s
+        pause_s = started_s - progress.forwarded_s
         if pause_s > progress.longest_pause_s:
             progress.longest_pause_s = pause_s
-            progress.longest_pause_at_s = now_s - call.request.received_s
+            progress.longest_pause_at_s = started_s - call.request.received_s
         relay.metrics_exporter.observe("pause", pause_s, kind="stream")
-    progress.forwarded_s = now_s
+    progress.forwarded_s = ended_s
     progress.events += 1
-    if event.id:
-        progress.last_id = event.id
-        progress.last_number = number
--- /dev/null
+++ b/lycheetide/relay/_writer.py
@@ -0,0 +1,256 @@
+"""Write to callers without making the reading from replicas wait for them."""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+from lycheetide.buffering import SlowReader
+from lycheetide.relay._memory import update_customer, update_memory
+from lycheetide.relay._outcomes import CallerDisconnected, Refusal, StreamAborted
+from lycheetide.relay._state import read_clock
+
+MAX_CALLER_BYTES = 262_144
+"""Bytes that are held for one caller. Beyond that the reading from the replica waits:
+at 200 bytes an event, this is a response of 1,300 tokens that nobody reads."""
+
+SLICE_BYTES = 32_768
+"""Size of the slices in which a whole answer is written."""
+
+
+@dataclass(frozen=True)
+class _Part:
+    """A part of an answer that wasn't written yet.
+
+    Parameters
+    ----------
+    size : int
+        Bytes that it holds.
+    write : callable
+        Coroutine function that writes it.
+    args : tuple
+        Its arguments.
+    record : callable or None
+        Called with the times at which the write began and ended.
+    held_since_s : float
+        When it was received.
+    """
+
+    size: int
+    write: Any
+    args: tuple
+    record: Any
+    held_since_s: float
+
+
+class BufferedReply:
+    """Stands for a ``Reply``, and holds what the caller doesn't read yet.
+
+    While the caller keeps up, each part is written at once by the task that received
+    it. Otherwise a writer task delivers the parts in order, and ends when none is left.
+
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    reply : Reply
+        Writes to the caller.
+    customer : str
+        Customer that the held bytes count for.
+    request_id : str
+        Id of the request in the log.
+
+    Attributes
+    ----------
+    is_started, is_complete : bool
+        Whether the head and the end of the answer were received.
+    waited_until_s : float
+        Until when the reading last waited for the caller.
+    error : Exception or None
+        Why no more can be written.
+    """
+
+    def __init__(self, relay, reply, *, customer, request_id):
+        self.customer = customer
+        self.request_id = request_id
+        self.key = relay.memory.make_key()
+        self.is_started = False
+        self.is_complete = False
+        self.waited_until_s = 0.0
+        self.error = None
+        self.group: Any = None
+        self._relay = relay
+        self._reply = reply
+        self._parts: deque[_Part] = deque()
+        self._is_writing = False
+        self._is_cut = False
+        self._progress = anyio.Event()
+
+    @property
+    def held_bytes(self):
+        """Bytes held for the caller."""
+        return self._relay.memory.held.count_caller(self.customer, self.key)
+
+    def describe(self, *, now_s):
+        """Return what is held for the caller."""
+        behind_s = now_s - self._parts[0].held_since_s if self._parts else 0.0
+        return SlowReader(
+            self.key, self.customer, self.held_bytes, behind_s, self.is_complete
+        )
+
+    async def start(self, status, headers, *, length=None):
+        """Write the head of the answer, as ``Reply.start``."""
+        self.is_started = True
+        await self._pass_on(0, self._reply.start, status, headers, length)
+
+    async def write(self, data, record=None):
+        """Write a part of the body, or hold it if the caller doesn't read.
+
+        Waits only if the caller's bytes have reached ``MAX_CALLER_BYTES``.
+        """
+        self._check()
+        size = len(data)
+        if not self._parts and self._reply.has_space(size):
+            started_s = read_clock()
+            await self._reply.write(data)
+            if record is not None:
+                record(started_s, started_s)
+            return
+        if self.held_bytes + size > MAX_CALLER_BYTES:
+            while self._parts and self.held_bytes + size > MAX_CALLER_BYTES:
+                await self._progress.wait()
+            self.waited_until_s = read_clock()
+        await self._pass_on(size, self._reply.write, data, record=record)
+
+    async def end(self):
+        """Mark the answer as complete; its end is written after all that is held."""
+        self.is_complete = True
+        await self._pass_on(0, self._reply.end)
+
+    async def send_whole(self, status, headers, body):
+        """Write a complete answer; it is held whole if the caller doesn't read."""
+        self.is_started = self.is_complete = True
+        if not self._parts and self._reply.has_space(len(body)):
+            await self._reply.send_whole(status, headers, body)
+            return
+        await self._pass_on(0, self._reply.start, status, headers, len(body))
+        # The server copies what it can't write at once.
+        view = memoryview(body)
+        for begin in range(0, len(body), SLICE_BYTES):
+            part = view[begin : begin + SLICE_BYTES]
+            await self._pass_on(0, self._reply.write, part, is_held=True)
+        # The slices share the body, so all of it is held until the last is written.
+        await self._pass_on(len(body), self._reply.end, is_held=True)
+
+    async def flush(self):
+        """Wait until all that is held has been written."""
+        while self._parts:
+            await self._progress.wait()
+
+    def abort(self, error):
+        """Drop what is held and end the request with an error."""
+        self.error = self.error or error
+        self._is_cut = True
+        self._drop()
+        self.group.cancel_scope.cancel()
+
+    def close(self):
+        """Drop what is held when the request has ended."""
+        if self._is_cut or (self._parts and self._reply.is_started):
+            # The server would otherwise keep the connection, and what it holds for it,
+            # until the caller has read everything.
+            self._reply.abort()
+        self._drop()
+
+    def _check(self):
+        """Raise the error after which nothing more may be written."""
+        if self.error is not None:
+            raise self.error
+
+    def _drop(self):
+        """Free what is held."""
+        self._parts.clear()
+        self._relay.memory.held.release(self.customer, self.key)
+
+    async def _pass_on(self, size, write, *args, record=None, is_held=False):
+        """Write one part now if that can't block, or let the writer do it."""
+        self._check()
+        if not (is_held or self._parts) and self._reply.has_space(size):
+            await write(*args)
+            return
+        now_s = read_clock()
+        self._parts.append(_Part(size, write, args, record, now_s))
+        if not self._is_writing:
+            self._is_writing = True
+            self.group.start_soon(self._write_parts)
+        if size:
+            self._relay.memory.held.hold(self.customer, self.key, size)
+            update_memory(self._relay, now_s=now_s)
+            update_customer(self._relay, self.customer, now_s=now_s)
+
+    async def _write_parts(self):
+        """Write the parts that are held, in order."""
+        try:
+            while self._parts:
+                part = self._parts[0]
+                started_s = read_clock()
+                await part.write(*part.args)
+                if not self._parts:
+                    return  # The request was aborted during the write.
+                if part.record is not None:
+                    part.record(started_s, read_clock())
+                self._relay.memory.held.release(self.customer, self.key, part.size)
+                self._parts.popleft()
+                self._note_progress()
+        except CallerDisconnected as error:
+            self.error = self.error or error
+            self.group.cancel_scope.cancel()
+        finally:
+            self._is_writing = False
+
+    def _note_progress(self):
+        """Wake the tasks that wait for the caller."""
+        progress, self._progress = self._progress, anyio.Event()
+        progress.set()
+
+
+async def serve_buffered_reply(relay, call, reply, serve):
+    """Serve a call whose caller may read slowly.
+
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    call : Call
+        The request.
+    reply : Reply
+        Writes to the caller.
+    serve : callable
+        Coroutine function that takes the same arguments and sends the answer.
+    """
+    buffered = BufferedReply(
+        relay,
+        reply,
+        customer=call.customer.name if call.customer else "",
+        request_id=call.request.attempt_id,
+    )
+    error: Exception | None = None
+    relay.memory.replies[buffered.key] = buffered
+    try:
+        async with anyio.create_task_group() as buffered.group:
+            try:
+                await serve(relay, call, buffered)
+            except (Refusal, StreamAborted, CallerDisconnected) as ended:
+                error = ended
+            if not isinstance(error, CallerDisconnected):
+                # Also before an abort: the caller can resume after the last event that
+                # it received.
+                await buffered.flush()
+            buffered.group.cancel_scope.cancel()
+    finally:
+        del relay.memory.replies[buffered.key]
+        buffered.close()
+    error = buffered.error or error
+    if error is not None:
+        raise error
--- a/standins/http.py
+++ b/standins/http.py
@@ -13,6 +13,7 @@
 import h11
 
 LOOPBACK = "127.0.0.1"
+SLOW_RECEIVE_BYTES = 4_096
 LINGER_RESET = struct.pack("ii", 1, 0)
 """SO_LINGER with a timeout of 0: closing the socket resets the connection."""
 REASON_PHRASES = {200: "OK", 410: "Gone", 421: "Misdirected", 500: "Error", 503: "Busy"}
@@ -92,6 +93,11 @@
         itself, or None to close the connection.
     passes_stream : bool
         Whether the handler also gets the stream of the connection.
+
+    Attributes
+    ----------
+    body_bytes_per_s : float
+        Rate at which request bodies are read; 0 for no limit.
     """
 
     def __init__(self, handle, *, passes_stream=False):
@@ -99,6 +105,7 @@
         self.passes_stream = passes_stream
         self.address = ""
         self.connections = 0
+        self.body_bytes_per_s = 0.0
 
     @asynccontextmanager
     async def run(self):
@@ -132,8 +139,7 @@
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
 
-    @staticmethod
-    async def _read(parser, stream):
+    async def _read(self, parser, stream):
         """Return the next request, or None if the connection has ended."""
         head: Any = None
         body = b""
@@ -141,7 +147,12 @@
             event = parser.next_event()
             if event is h11.NEED_DATA:
                 try:
-                    parser.receive_data(await stream.receive())
+                    if head is None or not self.body_bytes_per_s:
+                        data = await stream.receive()
+                    else:
+                        data = await stream.receive(SLOW_RECEIVE_BYTES)
+                        await anyio.sleep(len(data) / self.body_bytes_per_s)
+                    parser.receive_data(data)
                 except anyio.EndOfStream:
                     return None
             elif isinstance(event, h11.Request):
--- a/standins/relay_deployment.py
+++ b/standins/relay_deployment.py
@@ -1,5 +1,6 @@
 """Relays, replicas and a store in one event loop, for tests in a single process."""
 
+import socket
 import time
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
@@ -20,6 +21,7 @@
 API_KEY = "key-of-hule"
 CUSTOMER = "hule"
 WAIT_TIMEOUT_S = 5.0
+SLOW_RECEIVE_BYTES = 4_096
 
 ENGINE = {
     "slots": 8, "kvCapacityTokens": 100_000, "stride": 43, "step_ms": 1.0,
@@ -82,12 +84,17 @@
         Numbers of replicas and relays.
     config : dict, optional
         The configuration; that of `make_config` by default.
-    stop_notice_s : float
-        The setting of that name of each relay.
+    stop_notice_s, contracts, memory_mb
+        The settings of these names of each relay.
     """
 
-    def __init__(self, *, replicas=2, relays=1, config=None, stop_notice_s=0.0):
+    def __init__(
+        self, *, replicas=2, relays=1, config=None, stop_notice_s=0.0, contracts=(),
+        memory_mb=0.0,
+    ):  # fmt: skip
         self.stop_notice_s = stop_notice_s
+        self.contracts = contracts
+        self.memory_mb = memory_mb
         self.store = Store()
         self.links = Links()
         self.replicas = [Replica(f"r-{index}") for index in range(replicas)]
@@ -141,7 +148,8 @@
             tunnel_address=f"{LOOPBACK}:{find_port()}",
             store_address=self.store.address,
             registry_interval_s=0.05, stop_notice_s=self.stop_notice_s,
-            stop_s=self.stop_notice_s + 2.0,
+            stop_s=self.stop_notice_s + 2.0, contracts=self.contracts,
+            memory_mb=self.memory_mb,
         )  # fmt: skip
 
         async def stop_task(relay, *, task_status):
@@ -260,6 +268,23 @@
         ) as response:
             yield response
 
+    @asynccontextmanager
+    async def open_slow_reader(self, *, relay=0, path="/stream/s", **fields):
+        """Send a prompt and yield the connection, from which nothing is read yet.
+
+        Its receive buffer is small, so that a caller that doesn't read blocks the relay
+        after some 100 kB.
+        """
+        raw = socket.socket()
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BYTES)
+        host, _, port = self.relays[relay].settings.caller_address.rpartition(":")
+        raw.connect((host, int(port)))
+        fields = self.make_headers(**fields) | {"content-length": "8"}
+        lines = [f"POST {path} HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items())]
+        raw.sendall("\r\n".join([*lines, "", "a prompt"]).encode())
+        async with await anyio.abc.SocketStream.from_socket(raw) as stream:
+            yield stream
+
     async def count_looks(self, call, relay=0):
         """Return the response of a call, and how often the relay looked for a replica.
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -15,9 +15,13 @@
 RESPONSE_SEAL = "3e1b.07"
 
 
-def make_event(number, attempt=""):
-    """Return one server-sent event, with the id of its attempt if given."""
-    return f"id: {number}\ndata: token {number}{attempt}\n\n".encode()
+def make_event(number, attempt="", *, size=0):
+    """Return one server-sent event, with the id of its attempt if given.
+
+    Its data is filled up with dots to ``size`` bytes.
+    """
+    data = f"token {number}{attempt}".ljust(size, ".")
+    return f"id: {number}\ndata: {data}\n\n".encode()
 
 
 def chunk(data):
@@ -78,6 +82,13 @@
     rest : str or None
         The time of rest that it asks for when it refuses a request, in seconds; None
         for none.
+    unread_limit_s : float or None
+        How long an event of a stream may stay unread before the stream is cut off; None
+        for any time.
+    cut_unread : int
+        Number of streams that were cut off for this reason.
+    event_bytes : int
+        Size to which the data of each event is filled up.
     refused_helper : str
         Address of a replica; requests that use it as a helper are refused, and the
         refusal names it.
@@ -97,6 +108,9 @@
         self.next_steps = []
         self.default_step = ""
         self.refused_helper = ""
+        self.unread_limit_s = None
+        self.cut_unread = 0
+        self.event_bytes = 0
         self.long_pause_s = 0.0
         self.pace = 1.0
         self.limit = None
@@ -235,7 +249,8 @@
                     if step == "pause" and number == start + 3:
                         await anyio.sleep(self.long_pause_s)
                     await self.wait_before_writing()
-                    await stream.send(chunk(make_event(number, signature)))
+                    event = make_event(number, signature, size=self.event_bytes)
+                    await self._send_event(stream, event)
                     await anyio.sleep(self.pause_s)
                 group.cancel_scope.cancel()
         except* (
@@ -248,6 +263,14 @@
         await stream.send(b"0\r\n\r\n")
         return RESPONSE_SENT
 
+    async def _send_event(self, stream, event):
+        """Send an event; reset the connection if it stays unread for too long."""
+        with anyio.move_on_after(self.unread_limit_s) as scope:
+            await stream.send(chunk(event))
+        if scope.cancelled_caught:
+            self.cut_unread += 1
+            raise ConnectionReset
+
     async def wait_before_writing(self):
         """Wait before writing: not at all here, but subclasses may override this."""
 
