--- a/lycheetide/relay/_writer.py
+++ b/lycheetide/relay/_writer.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import anyio
@@ -28,9 +29,7 @@
     size : int
         Bytes that it holds.
     write : callable
-        Coroutine function that writes it.
-    args : tuple
-        Its arguments.
+        Coroutine function without arguments that writes it.
     record : callable or None
         Called with the times at which the write began and ended.
     held_since_s : float
@@ -39,7 +38,6 @@
 
     size: int
     write: Any
-    args: tuple
     record: Any
     held_since_s: float
 
@@ -99,10 +97,16 @@
             self.key, self.customer, self.held_bytes, behind_s, self.is_complete
         )
 
+    def note(self, **fields):
+        """Add fields to the log line, as ``Reply.note``."""
+        self._reply.note(**fields)
+
     async def start(self, status, headers, *, length=None):
         """Write the head of the answer, as ``Reply.start``."""
         self.is_started = True
-        await self._pass_on(0, self._reply.start, status, headers, length)
+        await self._pass_on(
+            0, partial(self._reply.start, status, headers, length=length)
+        )
 
     async def write(self, data, record=None):
         """Write a part of the body, or hold it if the caller doesn't read.
@@ -121,7 +125,7 @@
             while self._parts and self.held_bytes + size > MAX_CALLER_BYTES:
                 await self._progress.wait()
             self.waited_until_s = read_clock()
-        await self._pass_on(size, self._reply.write, data, record=record)
+        await self._pass_on(size, partial(self._reply.write, data), record=record)
 
     async def end(self):
         """Mark the answer as complete; its end is written after all that is held."""
@@ -134,12 +138,12 @@
         if not self._parts and self._reply.has_space(len(body)):
             await self._reply.send_whole(status, headers, body)
             return
-        await self._pass_on(0, self._reply.start, status, headers, len(body))
+        await self.start(status, headers, length=len(body))
         # The server copies what it can't write at once.
         view = memoryview(body)
         for begin in range(0, len(body), SLICE_BYTES):
             part = view[begin : begin + SLICE_BYTES]
-            await self._pass_on(0, self._reply.write, part, is_held=True)
+            await self._pass_on(0, partial(self._reply.write, part), is_held=True)
         # The slices share the body, so all of it is held until the last is written.
         await self._pass_on(len(body), self._reply.end, is_held=True)
 
@@ -173,14 +177,14 @@
         self._parts.clear()
         self._relay.memory.held.release(self.customer, self.key)
 
-    async def _pass_on(self, size, write, *args, record=None, is_held=False):
+    async def _pass_on(self, size, write, *, record=None, is_held=False):
         """Write one part now if that can't block, or let the writer do it."""
         self._check()
         if not (is_held or self._parts) and self._reply.has_space(size):
-            await write(*args)
+            await write()
             return
         now_s = read_clock()
-        self._parts.append(_Part(size, write, args, record, now_s))
+        self._parts.append(_Part(size, write, record, now_s))
         if not self._is_writing:
             self._is_writing = True
             self.group.start_soon(self._write_parts)
@@ -195,7 +199,7 @@
             while self._parts:
                 part = self._parts[0]
                 started_s = read_clock()
-                await part.write(*part.args)
+                await part.write()
                 if not self._parts:
                     return  # The request was aborted during the write.
                 if part.record is not None:
--- a/standins/relay_deployment.py
+++ b/standins/relay_deployment.py
@@ -22,6 +22,7 @@
 CUSTOMER = "hule"
 WAIT_TIMEOUT_S = 5.0
 SLOW_RECEIVE_BYTES = 4_096
+SLOW_SEGMENT_BYTES = 1_000
 
 ENGINE = {
     "slots": 8, "kvCapacityTokens": 100_000, "stride": 43, "step_ms": 1.0,
@@ -272,17 +273,21 @@
     async def open_slow_reader(self, *, relay=0, path="/stream/s", **fields):
         """Send a prompt and yield the connection, from which nothing is read yet.
 
-        Its receive buffer is small, so that a caller that doesn't read blocks the relay
-        after some 100 kB.
+        Its receive buffer and segments are small, so that a caller that doesn't read
+        blocks the relay after some 100 kB: for the large segments of the loopback
+        interface, the system holds 2.6 MB.
         """
         raw = socket.socket()
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BYTES)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SLOW_SEGMENT_BYTES)
         host, _, port = self.relays[relay].settings.caller_address.rpartition(":")
         raw.connect((host, int(port)))
         fields = self.make_headers(**fields) | {"content-length": "8"}
         lines = [f"POST {path} HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items())]
         raw.sendall("\r\n".join([*lines, "", "a prompt"]).encode())
         async with await anyio.abc.SocketStream.from_socket(raw) as stream:
+            # Otherwise the event loop reads before anyone asks for data.
+            stream._transport.pause_reading()
             yield stream
 
     async def count_looks(self, call, relay=0):
