Keep replicas for short prompts while requests compete for capacity

Under load all replicas prefilled long prompts at once, so that short prompts, which need few replicas, found none in time. The number needed is estimated from the placements of all nodes; a part of a long prompt on one of them now costs the weight of the short prompts that arrive there meanwhile. Off unless requests compete.

--- a/lycheetide/gossip/_jobs.py
+++ b/lycheetide/gossip/_jobs.py
@@ -71,9 +71,16 @@
 
 
 class JobTable:
-    """Table of all jobs in flight that this node knows of."""
+    """Table of all jobs in flight that this node knows of.
 
-    def __init__(self):
+    Parameters
+    ----------
+    demand : DemandTable or None, default=None
+        Is told of each start and end of a job.
+    """
+
+    def __init__(self, demand=None):
+        self.demand = demand
         self.jobs: dict[tuple[str, str], Job] = {}
         self.workloads: dict[str, ReplicaWorkload] = defaultdict(ReplicaWorkload)
         self._starts: deque[float] = deque()
@@ -95,6 +102,8 @@
         self._starts.append(now_s)
         for part in job.parts:
             self.workloads[part.replica].add(job, part, now_s=now_s)
+        if self.demand is not None:
+            self.demand.note_start(job, now_s=now_s)
 
     def end(self, node, job_id, *, now_s):
         """Remove a job and remember that it has ended."""
@@ -107,6 +116,8 @@
             del self._by_node[node]
         for part in job.parts:
             self.workloads[part.replica].remove(job, part, now_s=now_s)
+        if self.demand is not None:
+            self.demand.note_end(job, now_s=now_s)
 
     def note_read(self, node, job_id, *, now_s):
         """Record the first event of a job, which shows that its prompt is read."""
--- a/lycheetide/placement/__init__.py
+++ b/lycheetide/placement/__init__.py
@@ -27,7 +27,11 @@
     share_memory,
 )
 from lycheetide.placement._named_limits import LimitShare, share_named_limit
-from lycheetide.placement._pack import SHORT_PREFILL_S, estimate_unknown_requests
+from lycheetide.placement._pack import (
+    RESERVED_SLOTS,
+    SHORT_PREFILL_S,
+    estimate_unknown_requests,
+)
 from lycheetide.placement._retry_budget import RetryWindow
 from lycheetide.placement._ring import make_step_counter
 from lycheetide.placement._spread import MAX_HELPERS, ON_TIME_SHARE, spread_prompt
@@ -46,6 +50,7 @@
     "MIN_CALLER_PATIENCE_S",
     "ON_TIME_SHARE",
     "PROPAGATION_DELAY_S",
+    "RESERVED_SLOTS",
     "SHORT_PREFILL_S",
     "Arrivals",
     "Candidate",
--- a/lycheetide/placement/_choose.py
+++ b/lycheetide/placement/_choose.py
@@ -64,6 +64,7 @@
     max_helpers: int = MAX_HELPERS,
     unknown: float = 0.0,
     draw: float = 0.0,
+    reserved: int = 0,
 ):
     """Return the placement of a prompt, or None if no replica has memory for it.
 
@@ -90,6 +91,8 @@
         include.
     draw : float, default=0.0
         Random number, at least 0 and less than 1.
+    reserved : int, default=0
+        Number of replicas, the first by rank, that are kept for short prompts.
 
     Returns
     -------
@@ -99,6 +102,7 @@
         return spread_prompt(
             engine, size, candidates, target_s=target_s, left_s=left_s,
             patience_s=patience_s, arrivals=arrivals, max_helpers=max_helpers,
+            reserved=reserved,
         )  # fmt: skip
     fitting = [
         candidate for candidate in candidates if has_memory(engine, size, candidate)
--- a/lycheetide/placement/_spread.py
+++ b/lycheetide/placement/_spread.py
@@ -11,7 +11,7 @@
 would be late, and the number with the lowest cost is used.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lycheetide.placement._estimate import estimate_pass_s, estimate_prefill_s
 from lycheetide.placement._memory import needs_several_replicas, share_memory
@@ -37,6 +37,8 @@
 known."""
 USABLE_GAP_SHARE = 0.8
 """Fraction of the gap tolerated by its callers that a replica's pass may take."""
+SHORT_WEIGHT = 1.33
+"""Mean weight of a short prompt, of some 5,000 tokens."""
 BLOCKING_SHARE = 0.4
 """Fraction of the service's shortest target for which a replica may be busy with
 prefill before it counts as blocked for short prompts."""
@@ -100,12 +102,15 @@
         Pause of its decoding requests without the part, in seconds.
     harmed_weight : float
         Weight of the decoding requests that this pause is already too long for.
+    reserved_per_s : float
+        Weight per second of the short prompts for which the replica is reserved.
     """
 
     candidate: Candidate
     wait_s: float
     pause_s: float
     harmed_weight: float
+    reserved_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -142,6 +147,7 @@
     patience_s=float("inf"),
     arrivals=Arrivals(),  # noqa: B008
     max_helpers=MAX_HELPERS,
+    reserved=0,
 ):
     """Return the placement of a long prompt, or None if there isn't enough memory.
 
@@ -164,6 +170,10 @@
     max_helpers : int
         Maximum number of replicas that take part besides the first. It is ignored if
         the prompt needs the memory of several replicas.
+    reserved : int, default=0
+        Number of replicas, the first by rank, that are kept for short prompts. A part
+        of the prompt is prefilled there only if that is worth more than the short
+        prompts that arrive there meanwhile, or if no other replica is left.
 
     Returns
     -------
@@ -185,6 +195,8 @@
     max_readers = min(max_helpers + 1, len(candidates))
     counts = [count for count in READER_COUNTS if count < max_readers] + [max_readers]
     replicas = [_assess_replica(engine, candidate) for candidate in candidates]
+    if reserved:
+        replicas = _mark_reserved(replicas, arrivals, reserved)
     plans = (_price_plan(engine, prompt, replicas, arrivals, count) for count in counts)
     feasible = [plan for plan in plans if plan is not None]
     if not feasible:
@@ -205,6 +217,23 @@
     )
 
 
+def _mark_reserved(replicas, arrivals, reserved):
+    """Return the replicas with the weight of the short prompts that they are kept for.
+
+    Short prompts are assumed to arrive evenly at the reserved replicas. If no other
+    replica is left, none of them counts as reserved.
+    """
+    if all(replica.candidate.rank < reserved for replica in replicas):
+        return replicas
+    per_s = SHORT_WEIGHT * arrivals.per_s / reserved
+    return [
+        replace(replica, reserved_per_s=per_s)
+        if replica.candidate.rank < reserved
+        else replica
+        for replica in replicas
+    ]
+
+
 def _price_plan(engine, prompt, replicas, arrivals, count):
     """Return the cost and the placement for a number of readers, or None.
 
@@ -273,6 +302,8 @@
             harm = candidate.disturbed_weight(required_gap_s) - replica.harmed_weight
         if candidate.pending_prefills:
             harm += candidate.overtaken_weight(own_part_s)
+        if replica.reserved_per_s:
+            harm += replica.reserved_per_s * own_part_s
         read_by_s = replica.wait_s + own_part_s
         own_cost = own_costs.get(read_by_s)
         if own_cost is None:
--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -186,6 +186,22 @@
             len(relay.peers.alive(now_s=now_s)) + 1,
         ),
         draw=relay.random.random(),
+        reserved=count_reserved(relay, call, candidates, now_s=now_s),
+    )
+
+
+def count_reserved(relay, call, candidates, *, now_s):
+    """Return how many replicas are kept for short prompts of a call's service.
+
+    It is 0 for a short prompt, which may use all of them, and where requests don't
+    compete for capacity.
+    """
+    engine = call.service.engine or DEFAULT_ENGINE
+    prefill_s = estimate_prefill_s(engine, call.size.prompt_tokens)
+    if not relay.activation.is_contended or prefill_s <= SHORT_PREFILL_S:
+        return 0
+    return relay.job_table.demand.count_reserved(
+        call.service.name, engine, len(candidates), now_s=now_s
     )
 
 
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -10,6 +10,7 @@
 import anyio
 
 from lycheetide.admission import find_activation
+from lycheetide.demand import DemandTable
 from lycheetide.gossip import (
     REPLICA_RETENTION_S,
     DelayEstimator,
@@ -120,7 +121,7 @@
         self.operator = TopicState({})
         self.registry = TopicState({})
         self.replicas = ReplicaTable()
-        self.job_table = JobTable()
+        self.job_table = JobTable(DemandTable(self._find_service))
         self.failure_detector = FailureDetector()
         self.message_delays = DelayEstimator()
         self.memory_queue = MemoryQueue()
@@ -292,6 +293,11 @@
             if self._is_registered(life) or now_s - told_s < REPLICA_RETENTION_S
         }
 
+    def _find_service(self, replica):
+        """Return the service of a replica, None if it isn't registered."""
+        known = self.replicas.replicas.get(replica)
+        return known.entry.service if known is not None else None
+
     def _is_registered(self, life):
         """Tell whether this start of a replica is registered."""
         known = self.replicas.replicas.get(life.replica)
--- a/lycheetide/simulation/_relay_policies.py
+++ b/lycheetide/simulation/_relay_policies.py
@@ -46,6 +46,8 @@
         Number of nodes that place requests.
     rng : random.Random
         Source of random choices.
+    reserved : int, default=0
+        Number of replicas that the nodes keep for short prompts.
     """
 
     engine: EngineProfile
@@ -58,12 +60,13 @@
     gossip_delay_s: float
     nodes: int
     rng: random.Random
+    reserved: int = 0
 
 
 PlacementPolicy = Callable[[PlacementQuery], Placement | None]
 
 
-def place_lycheetide(asked):
+def place_lycheetide(asked, *, reserved=0):
     """Place or refuse a request as this project's relay does."""
     placement = place_prompt(
         asked.engine,
@@ -76,12 +79,18 @@
             asked.starts_per_s, asked.gossip_delay_s, asked.nodes
         ),
         draw=asked.rng.random(),
+        reserved=reserved,
     )
     if placement is None or not placement.is_worthwhile(asked.patience_s):
         return None
     return placement
 
 
+def place_with_reservation(asked):
+    """Place as ``place_lycheetide`` does, with replicas reserved for short prompts."""
+    return place_lycheetide(asked, reserved=asked.reserved)
+
+
 def place_least_work(asked):
     """Place on the replica with the least prefill backlog and fewest requests.
 
@@ -125,6 +134,7 @@
 
 RELAY_POLICIES = {
     "product": place_lycheetide,
+    "with reservation": place_with_reservation,
     "least work": place_least_work,
     "relay with helpers": place_with_helpers,
 }
--- a/lycheetide/simulation/_relay_simulation.py
+++ b/lycheetide/simulation/_relay_simulation.py
@@ -12,6 +12,7 @@
 import random
 from dataclasses import dataclass, field
 
+from lycheetide.demand import DemandTable
 from lycheetide.gossip import Job, JobPart, JobTable
 from lycheetide.placement import (
     SHORT_PREFILL_S,
@@ -39,6 +40,8 @@
 )
 """A large dense model on two accelerators, with the figures that the users' engines
 declare."""
+SERVICE = "prompts"
+"""Name of the only service."""
 REQUEST_LIFETIME_S = 60.0
 """Upper bound on the time that a request takes."""
 PLACEMENT_RETRY_S = 0.04
@@ -187,7 +190,7 @@
         self.model = model
         self.policy = policy
         self.rng = random.Random(f"{random_state}/policy")
-        self.job_table = JobTable()
+        self.job_table = JobTable(DemandTable(lambda _: SERVICE))
         names = [f"r{number}" for number in range(model.replicas)]
         self.ranks = rank_replicas(names)
         slow_names = names[: model.slow_replicas]
@@ -229,6 +232,9 @@
                 gossip_delay_s=self.model.gossip_delay_s,
                 nodes=self.model.nodes,
                 rng=self.rng,
+                reserved=self.job_table.demand.count_reserved(
+                    SERVICE, engine, self.model.replicas, now_s=now_s
+                ),
             )
         )
         if placement is None:
