Place by distance, waits and bounded memory where capacity is contended

Cause: the fixed penalty for another failure domain ignores declared delays; a plain request left a near replica at the first difference of load; nodes that learn late of one another could send a replica more KV cache than it has. Change: Candidate.distance_s, place_plain_request by expected wait and distance, ServiceTimes, _replica_memory (margin for unknown requests, at most two requests beyond the slots), memory of silent peers' jobs kept until they expire, and a second attempt that prefers another failure domain and leaves itself time. All of it only where the activation says that capacity is contended.

--- a/lycheetide/gossip/_jobs.py
+++ b/lycheetide/gossip/_jobs.py
@@ -79,6 +79,7 @@
         self._starts: deque[float] = deque()
         self._ended_s: dict[tuple[str, str], float] = {}
         self._by_node: dict[str, set[str]] = defaultdict(set)
+        self._silent: set[tuple[str, str]] = set()
 
     def start(self, job: Job, *, now_s):
         """Add a job, unless it is known to have ended.
@@ -105,8 +106,13 @@
         self._by_node[node].discard(job_id)
         if not self._by_node[node]:
             del self._by_node[node]
+        is_silent = (node, job_id) in self._silent
+        self._silent.discard((node, job_id))
         for part in job.parts:
-            self.workloads[part.replica].remove(job, part, now_s=now_s)
+            if is_silent:
+                self.workloads[part.replica].free_memory(part)
+            else:
+                self.workloads[part.replica].remove(job, part, now_s=now_s)
 
     def note_read(self, node, job_id, *, now_s):
         """Record the first event of a job, which shows that its prompt is read."""
@@ -114,9 +120,16 @@
         for part in job.parts if job is not None else ():
             self.workloads[part.replica].stop_reading(job, part, now_s=now_s)
 
-    def expire(self, *, now_s, dead=frozenset()):
+    def expire(self, *, now_s, dead=frozenset(), silent=frozenset()):
         """Remove jobs that have certainly ended.
 
+        A silent node may only be cut off from this one, and its requests may go on. If
+        they don't, a slot that is kept for them is idle; if they do, a replica that is
+        sent more than its memory holds fails. So the jobs of a silent node give up
+        their slots and their backlog at once, but keep their memory until their own
+        node announces their end or they expire. They don't take up slots again if the
+        node is heard from later.
+
         Parameters
         ----------
         now_s : float
@@ -125,6 +138,9 @@
             Nodes that were alive and no longer are; their requests ended with them. A
             node that is not known yet must not be listed: other nodes may report its
             jobs before its own first heartbeat arrives.
+        silent : set of str
+            Nodes that were alive and haven't been heard from since, and whose requests
+            may go on.
         """
         finished = [
             key
@@ -133,12 +149,25 @@
         ]
         for node, job_id in finished:
             self.end(node, job_id, now_s=now_s)
+        for node in silent:
+            self._keep_memory(node, now_s=now_s)
         self._ended_s = {
             key: at_s
             for key, at_s in self._ended_s.items()
             if now_s - at_s < ENDED_RETENTION_S
         }
 
+    def _keep_memory(self, node, *, now_s):
+        """Uncount the jobs of a silent node except for their memory."""
+        for job_id in self.running(node):
+            key = node, job_id
+            if key in self._silent:
+                continue
+            self._silent.add(key)
+            job = self.jobs[key]
+            for part in job.parts:
+                self.workloads[part.replica].keep_memory(job, part, now_s=now_s)
+
     def running(self, node):
         """Return the ids of a node's jobs in flight."""
         return self._by_node.get(node, frozenset())
--- a/lycheetide/gossip/_peers.py
+++ b/lycheetide/gossip/_peers.py
@@ -106,6 +106,7 @@
         self._indirectly_heard_s: dict[int, float] = {}
         self._known_nodes: set[str] = set()
         self._gone_since_s: dict[str, float] = {}
+        self._replaced: set[str] = set()
 
     def add_address(self, address, *, now_s):
         """Add an address at which a node may run."""
@@ -142,6 +143,7 @@
             self.last_new_peer_s = now_s
             if known.node:
                 self._gone_since_s[known.node] = now_s
+                self._replaced.add(known.node)
             self._known_nodes.discard(known.node)
             self._known_nodes.add(heartbeat.node)
         return is_new
@@ -182,6 +184,15 @@
         }
         return (self._known_nodes - living).union(self._gone_since_s)
 
+    def list_silent(self, *, now_s):
+        """Return the dead peers whose process may still run, cut off from this node.
+
+        A peer that was replaced at its address by its next start has certainly ended.
+        """
+        dead = self.list_dead(now_s=now_s)
+        self._replaced &= self._gone_since_s.keys()
+        return dead - self._replaced
+
     def list_unheard(self):
         """Return the addresses at which no node has been heard from yet."""
         return [peer.address for peer in self.peers.values() if not peer.node]
--- a/lycheetide/gossip/_workload.py
+++ b/lycheetide/gossip/_workload.py
@@ -102,6 +102,15 @@
             if self.helping == 0:
                 self.busy_until_s = now_s
 
+    def keep_memory(self, job, part, *, now_s):
+        """Remove the part of a job, but count its memory until ``free_memory``."""
+        self.remove(job, part, now_s=now_s)
+        self.kv_tokens += part.kv_tokens
+
+    def free_memory(self, part):
+        """Uncount the memory of a part of which nothing else is counted."""
+        self.kv_tokens -= part.kv_tokens
+
     def stop_reading(self, job, part, *, now_s):
         """Remove the rest of a part's prefill, which the replica won't do any more.
 
--- a/lycheetide/placement/_choose.py
+++ b/lycheetide/placement/_choose.py
@@ -10,9 +10,9 @@
 
 from lycheetide.placement._estimate import estimate_prefill_s
 from lycheetide.placement._pack import SHORT_PREFILL_S, pack_prompt
+from lycheetide.placement._replica_memory import has_memory
 from lycheetide.placement._spread import MAX_HELPERS, spread_prompt
-from lycheetide.placement._types import Arrivals, Candidate, Placement, RequestSize
-from lycheetide.placement._waits import has_memory
+from lycheetide.placement._types import Arrivals, Candidate, RequestSize
 from lycheetide.routes import EngineProfile
 
 
@@ -33,25 +33,6 @@
     return {name: place for place, name in enumerate(ordered)}
 
 
-def place_plain_request(candidates: Sequence[Candidate]):
-    """Return the placement of a request without a prompt, or None if there is none.
-
-    The replica with the largest fraction of free slots is chosen. Ties go to a replica
-    in this node's failure domain. A replica that failed recently is used only if all
-    others are full.
-    """
-    if not candidates:
-        return None
-
-    def load(candidate):
-        share = candidate.writers / max(1, candidate.slots)
-        is_full = candidate.writers >= candidate.slots
-        return (is_full, candidate.is_recovering, round(share, 2), candidate.penalty_s)
-
-    first = min(candidates, key=load)
-    return Placement(first, (), 0.0, 0.0)
-
-
 def place_prompt(
     engine: EngineProfile,
     size: RequestSize,
@@ -64,6 +45,7 @@
     max_helpers: int = MAX_HELPERS,
     unknown: float = 0.0,
     draw: float = 0.0,
+    margin_tokens: int = 0,
 ):
     """Return the placement of a prompt, or None if no replica has memory for it.
 
@@ -90,6 +72,8 @@
         include.
     draw : float, default=0.0
         Random number, at least 0 and less than 1.
+    margin_tokens : int, default=0
+        Memory of each replica that is left free for unknown requests.
 
     Returns
     -------
@@ -99,9 +83,12 @@
         return spread_prompt(
             engine, size, candidates, target_s=target_s, left_s=left_s,
             patience_s=patience_s, arrivals=arrivals, max_helpers=max_helpers,
+            margin_tokens=margin_tokens,
         )  # fmt: skip
     fitting = [
-        candidate for candidate in candidates if has_memory(engine, size, candidate)
+        candidate
+        for candidate in candidates
+        if has_memory(engine, size, candidate, margin_tokens)
     ]
     if not fitting:
         return None
--- a/lycheetide/placement/_memory.py
+++ b/lycheetide/placement/_memory.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from lycheetide.placement._replica_memory import count_free_tokens
 from lycheetide.placement._types import Candidate, MemoryShare
 
 MAX_MEMORY_SHARE = 0.6
@@ -25,7 +26,7 @@
     )
 
 
-def share_memory(engine, tokens, candidates: Sequence[Candidate]):
+def share_memory(engine, tokens, candidates: Sequence[Candidate], *, margin_tokens=0):
     """Return how a request's KV cache is distributed over replicas.
 
     Replicas with the least memory in use are chosen first. Ties go to the smallest
@@ -39,6 +40,8 @@
         Tokens of the prompt and the answer together.
     candidates : sequence of Candidate
         Replicas that may take part.
+    margin_tokens : int, default=0
+        Memory of each replica that is left free for unknown requests.
 
     Returns
     -------
@@ -60,13 +63,16 @@
         return None, ()
     first, *others = order
     room = engine.kv_tokens - first.kv_tokens
-    left = tokens - int(min(FIRST_MEMORY_SHARE * engine.kv_tokens, 0.8 * room))
+    free = max(0, count_free_tokens(engine, first, margin_tokens))
+    left = tokens - int(min(FIRST_MEMORY_SHARE * engine.kv_tokens, 0.8 * room, free))
     shares = []
     for other in others:
         if left <= 0:
             break
         room = MAX_MEMORY_SHARE * (engine.kv_tokens - other.kv_tokens)
-        part = int(min(left, room))
+        part = int(min(left, room, count_free_tokens(engine, other, margin_tokens)))
+        if part <= 0:
+            break
         shares.append(MemoryShare(other, part))
         left -= part
     if left > 0:
--- a/lycheetide/placement/_spread.py
+++ b/lycheetide/placement/_spread.py
@@ -16,8 +16,9 @@
 from lycheetide.placement._estimate import estimate_pass_s, estimate_prefill_s
 from lycheetide.placement._memory import needs_several_replicas, share_memory
 from lycheetide.placement._pack import RESERVED_SLOTS
+from lycheetide.placement._replica_memory import has_memory
 from lycheetide.placement._types import Arrivals, Candidate, Placement, RequestSize
-from lycheetide.placement._waits import estimate_slot_wait_s, has_memory, wait_s
+from lycheetide.placement._waits import estimate_slot_wait_s, wait_s
 
 MAX_HELPERS = 16
 """Maximum number of helpers that a replica accepts in one request."""
@@ -56,6 +57,8 @@
         Target time to the first event and the remaining part of it, in seconds.
     patience_s : float
         Time after which the caller disconnects without a first event, in seconds.
+    margin_tokens : int
+        Memory of each replica that is left free for unknown requests.
     """
 
     size: RequestSize
@@ -63,6 +66,7 @@
     target_s: float
     left_s: float
     patience_s: float
+    margin_tokens: int = 0
 
     def worth(self, expected_s):
         """Return the value to the caller of a first event after ``expected_s``."""
@@ -142,6 +146,7 @@
     patience_s=float("inf"),
     arrivals=Arrivals(),  # noqa: B008
     max_helpers=MAX_HELPERS,
+    margin_tokens=0,
 ):
     """Return the placement of a long prompt, or None if there isn't enough memory.
 
@@ -164,6 +169,8 @@
     max_helpers : int
         Maximum number of replicas that take part besides the first. It is ignored if
         the prompt needs the memory of several replicas.
+    margin_tokens : int, default=0
+        Memory of each replica that is left free for unknown requests.
 
     Returns
     -------
@@ -177,6 +184,7 @@
         target_s,
         target_s if left_s is None else left_s,
         patience_s,
+        margin_tokens,
     )
     if needs_several_replicas(engine, size.tokens):
         # A prompt this large needs the memory of several replicas, so helpers are
@@ -212,7 +220,7 @@
     """
     part_s = prompt.prefill_s / count
     readers = _price_readers(prompt, replicas, part_s)
-    chosen = _choose_readers(engine, prompt.size, readers, count)
+    chosen = _choose_readers(engine, prompt, readers, count)
     if chosen is None:
         return None
     first, others, holders = chosen
@@ -282,26 +290,28 @@
     return readers
 
 
-def _choose_readers(engine, size, readers, count):
+def _choose_readers(engine, prompt, readers, count):
     """Return the first reader, the other readers and the memory shares, or None.
 
     Parameters
     ----------
     engine : EngineProfile
         Performance model of the service's replicas.
-    size : RequestSize
-        Tokens of the request.
+    prompt : LongPrompt
+        The prompt.
     readers : list of _Reader
         Replicas with their costs, the cheapest first.
     count : int
         Number of readers to choose.
     """
-    if needs_several_replicas(engine, size.tokens):
-        chosen = _choose_holders(engine, size, readers, count)
+    if needs_several_replicas(engine, prompt.size.tokens):
+        chosen = _choose_holders(engine, prompt, readers, count)
         if chosen is not None:
             return chosen
     fitting = (
-        reader for reader in readers if has_memory(engine, size, reader.candidate)
+        reader
+        for reader in readers
+        if has_memory(engine, prompt.size, reader.candidate, prompt.margin_tokens)
     )
     first = next(fitting, None)
     if first is None:
@@ -316,13 +326,16 @@
     return first, eligible[: count - 1], ()
 
 
-def _choose_holders(engine, size, readers, count):
+def _choose_holders(engine, prompt, readers, count):
     """Return readers that hold a prompt's KV cache together, or None."""
     eligible = [reader for reader in readers if reader.candidate.may_help][:count]
     if len(eligible) < count:
         return None
     first, holders = share_memory(
-        engine, size.tokens, [reader.candidate for reader in eligible]
+        engine,
+        prompt.size.tokens,
+        [reader.candidate for reader in eligible],
+        margin_tokens=prompt.margin_tokens,
     )
     if first is None:
         return None
--- a/lycheetide/placement/_types.py
+++ b/lycheetide/placement/_types.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 
 CROSS_DOMAIN_PENALTY_S = 0.002
-"""Penalty for a replica in another failure domain: one round trip between domains."""
+"""Penalty for a replica in another failure domain: one round trip between domains where
+the distance isn't known."""
 RECOVERING_PENALTY_S = 0.15
 """Penalty for a replica that was silent and hasn't answered since. Other replicas are
 preferred while they are fast enough."""
@@ -118,6 +119,10 @@
         Whether it names a limit on the requests that it takes.
     pace : float
         Factor by which its work takes longer than its engine's profile states.
+    distance_s : float or None
+        Round trip to its failure domain by the declared delays; None if not known.
+    failure_domain : str
+        Its failure domain; empty if not known.
     """
 
     id: str
@@ -135,12 +140,21 @@
     is_cold: bool = False
     is_limited: bool = False
     pace: float = 1.0
+    distance_s: float | None = None
+    failure_domain: str = ""
+
+    @property
+    def round_trip_s(self):
+        """Expected round trip to its failure domain, in seconds."""
+        if self.distance_s is not None:
+            return self.distance_s
+        return 0.0 if self.is_near else CROSS_DOMAIN_PENALTY_S
 
     @property
     def penalty_s(self):
         """Penalty in seconds for everything besides the replica's load."""
         return (
-            (0.0 if self.is_near else CROSS_DOMAIN_PENALTY_S)
+            self.round_trip_s
             + (RECOVERING_PENALTY_S if self.is_recovering else 0.0)
             + (COLD_PENALTY_S if self.is_cold else 0.0)
         )
--- a/lycheetide/placement/_waits.py
+++ b/lycheetide/placement/_waits.py
@@ -10,11 +10,6 @@
 """Prefill time within one pass of a full replica: about one short prompt."""
 
 
-def has_memory(engine, size, candidate):
-    """Return whether a replica has enough KV cache memory for a request."""
-    return candidate.kv_tokens + size.tokens <= engine.kv_tokens
-
-
 def wait_s(engine, candidate):
     """Return the expected time until the prefill of a prompt sent now, in seconds."""
     pass_s = estimate_pass_s(engine, candidate.writers, candidate.kv_tokens)
--- a/lycheetide/relay/_broadcast.py
+++ b/lycheetide/relay/_broadcast.py
@@ -108,10 +108,17 @@
 def estimate_propagation_s(relay, *, now_s):
     """Return the time until this node learns what others place, in seconds.
 
-    The measured mean delay is included: a saturated link or a slow hub adds to it.
+    The measured mean delay is included: a saturated link or a slow hub adds to it. It
+    is measured from the fastest message, so the declared delay between failure domains
+    isn't part of it.
     """
     bundle_delay_s = BUNDLE_DELAY_S if is_large_fleet(relay, now_s=now_s) else 0.0
-    return PROPAGATION_S + bundle_delay_s + relay.message_delays.mean_s()
+    return (
+        PROPAGATION_S
+        + relay.longest_delay_s
+        + bundle_delay_s
+        + relay.message_delays.mean_s()
+    )
 
 
 def make_bundles(node, messages):
--- a/lycheetide/relay/_buffered.py
+++ b/lycheetide/relay/_buffered.py
@@ -3,6 +3,12 @@
 from lycheetide.exchange import ReplicaResponse
 from lycheetide.httpclient import ChannelError
 from lycheetide.relay._attempt import announced_attempt, make_failure, open_attempt
+from lycheetide.relay._capacity import (
+    find_min_attempt_s,
+    leave_time_for_attempt,
+    record_answer,
+    record_error_start,
+)
 from lycheetide.relay._evidence import record_failed_attempt
 from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal
 from lycheetide.relay._retries import claim_retry
@@ -47,11 +53,14 @@
         if placement is None:
             break
         call.tried.add(placement.first.id)
+        call.error_starts.pop(placement.first.id, None)
         try:
             last_answer = await request_answer(relay, call, placement)
         except AttemptFailed as failure:
             record_failed_attempt(relay, call, placement, failure)
-            if claim_retry(relay, call, min_attempt_s=MIN_ANSWER_ATTEMPT_S):
+            if claim_retry(
+                relay, call, min_attempt_s=find_min_answer_attempt_s(relay, call)
+            ):
                 relay.counters.add(f"retries.{failure.cause}")
                 continue
             if last_answer is None:
@@ -61,8 +70,9 @@
         is_success = last_answer[0].status < MIN_SERVER_ERROR_STATUS
         if not is_success:
             record_server_error(relay, call, placement, last_answer[0])
+            record_error_start(relay, call, placement)
         if is_success or not claim_retry(
-            relay, call, min_attempt_s=MIN_ANSWER_ATTEMPT_S
+            relay, call, min_attempt_s=find_min_answer_attempt_s(relay, call)
         ):
             break
         relay.counters.add(f"retries.{Cause.UPSTREAM_ERROR}")
@@ -73,6 +83,11 @@
     await reply.send_whole(answer.status, headers, body)
 
 
+def find_min_answer_attempt_s(relay, call):
+    """Return the shortest remaining time in which an attempt is worth starting."""
+    return find_min_attempt_s(relay, call, default_s=MIN_ANSWER_ATTEMPT_S)
+
+
 def record_server_error(relay, call, placement, answer):
     """Count and log an answer with which a replica itself reports an error."""
     relay.counters.add("attempts.server_error")
@@ -94,8 +109,14 @@
 
     Doesn't raise, since an earlier answer can be sent instead.
     """
+    wait_s = leave_time_for_attempt(
+        relay,
+        find_placement_wait_s(call),
+        call.remaining_s(now_s=read_clock()),
+        min_attempt_s=find_min_answer_attempt_s(relay, call),
+    )
     try:
-        return await choose_placement(relay, call, wait_s=find_placement_wait_s(call))
+        return await choose_placement(relay, call, wait_s=wait_s)
     except Refusal:
         return None
 
@@ -108,14 +129,19 @@
     AttemptFailed
         If the answer isn't complete.
     """
-    remaining_s = call.remaining_s(now_s=read_clock())
+    sent_s = read_clock()
+    remaining_s = call.remaining_s(now_s=sent_s)
+    min_attempt_s = find_min_answer_attempt_s(relay, call)
     wait_s = remaining_s
     if call.route.is_repeatable and call.sent + 1 < call.route.max_attempts:
         wait_s = min(
             remaining_s, max(ANSWER_TIMEOUT_S, 2 * call.route.target_latency_s)
         )
+        wait_s = leave_time_for_attempt(
+            relay, wait_s, remaining_s, min_attempt_s=min_attempt_s
+        )
     more = make_answer_timeout_extension(
-        relay, call, placement.first.id, min_attempt_s=MIN_ANSWER_ATTEMPT_S
+        relay, call, placement.first.id, min_attempt_s=min_attempt_s
     )
     async with (
         announced_attempt(relay, call, placement),
@@ -127,4 +153,6 @@
             body = await attempt.channel.read_all(timeout_s=wait_s, more=more)
         except ChannelError as broken:
             raise make_failure(broken, attempt.channel) from broken
+        if attempt.answer.status < MIN_SERVER_ERROR_STATUS:
+            record_answer(relay, call, placement, sent_s=sent_s, now_s=read_clock())
         return attempt.answer, body
--- a/lycheetide/relay/_call.py
+++ b/lycheetide/relay/_call.py
@@ -55,6 +55,11 @@
         Whether a part of the answer was sent to the caller.
     has_retry : bool
         Whether a retry was taken from the retry budget for the next attempt.
+    error_starts : dict of str to int
+        Replicas that reported a server error, with the start of the process that did,
+        in Unix milliseconds. Empty unless requests compete for capacity.
+    error_domains : set of str
+        Failure domains of these replicas.
     paths : dict of str to str
         Path of the latest request to each replica: address of the peer that carries the
         connection, empty for a direct one.
@@ -75,6 +80,8 @@
     helpers_refused: bool = False
     is_begun: bool = False
     has_retry: bool = False
+    error_starts: dict[str, int] = field(default_factory=dict)
+    error_domains: set[str] = field(default_factory=set)
     paths: dict[str, str] = field(default_factory=dict)
 
     def list_homes(self):
@@ -91,6 +98,15 @@
         self.refusals[replica] += 1
         self.last_refused_s[replica] = now_s
 
+    def record_server_error(self, entry):
+        """Record that the start of a replica that an entry registers reported an error.
+
+        Another attempt may go to the next start of that replica, and goes to another
+        failure domain if a replica is free there.
+        """
+        self.error_starts[entry.id] = entry.born_ms
+        self.error_domains.add(entry.failure_domain)
+
     def list_excluded(self, *, now_s):
         """Return the replicas that the call must not be sent to at present.
 
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -440,7 +440,10 @@
             was_behind = is_behind
             living = self.relay.list_alive_nodes(now_s=now_s)
             dead = self.relay.peers.list_dead(now_s=now_s)
-            self.relay.job_table.expire(now_s=now_s, dead=dead)
+            silent: set[str] = set()
+            if self.relay.activation.is_contended:
+                silent = self.relay.peers.list_silent(now_s=now_s)
+            self.relay.job_table.expire(now_s=now_s, dead=dead - silent, silent=silent)
             self.relay.drop_gone_replicas(now_s=now_s)
             self.relay.paces.drop_outdated(now_s=now_s)
             self.relay.message_delays.drop_absent(living)
--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -11,11 +11,16 @@
     estimate_prefill_s,
     estimate_unknown_requests,
     may_send,
-    place_plain_request,
     place_prompt,
     share_cold_limits,
 )
 from lycheetide.relay._broadcast import estimate_propagation_s
+from lycheetide.relay._capacity import (
+    find_margin_tokens,
+    find_open_replicas,
+    list_restarted,
+    place_plain_call,
+)
 from lycheetide.relay._named_limits import list_unconfirmed, make_opening_finder
 from lycheetide.relay._outcomes import Cause, Refusal
 from lycheetide.relay._state import read_clock
@@ -142,7 +147,7 @@
     return relay.candidates(
         call.service,
         now_s=now_s,
-        without=call.list_excluded(now_s=now_s) | without,
+        without=call.list_excluded(now_s=now_s) - list_restarted(relay, call) | without,
         homes=call.list_homes(),
     )
 
@@ -165,8 +170,10 @@
 
 def find_best_placement(relay, call, candidates, *, now_s):
     """Return the placement for a call by the load of the candidates, or None."""
+    open_candidates = find_open_replicas(relay, candidates)
     if not call.size.prompt_tokens:
-        return place_plain_request(candidates)
+        return place_plain_call(relay, call, open_candidates, now_s=now_s)
+    arrivals = estimate_arrivals(relay, call, candidates, now_s=now_s)
     engine = call.service.engine or DEFAULT_ENGINE
     # A replica refuses a prompt if one of its helpers is shutting down. Other nodes may
     # not know that yet while the store is unavailable, so a second attempt with helpers
@@ -174,11 +181,11 @@
     return place_prompt(
         engine,
         call.size,
-        candidates,
+        open_candidates,
         target_s=call.route.target_latency_s,
         left_s=find_first_event_due_s(call) - now_s,
         patience_s=find_patience_s(call),
-        arrivals=estimate_arrivals(relay, call, candidates, now_s=now_s),
+        arrivals=arrivals,
         max_helpers=0 if call.helpers_refused else MAX_HELPERS,
         unknown=estimate_unknown_requests(
             relay.job_table.starts_per_s(now_s=now_s),
@@ -186,6 +193,9 @@
             len(relay.peers.alive(now_s=now_s)) + 1,
         ),
         draw=relay.random.random(),
+        margin_tokens=find_margin_tokens(
+            relay, engine, candidates, arrivals, now_s=now_s
+        ),
     )
 
 
@@ -323,7 +333,8 @@
     rest_s : float, default=0
         Time until the first replica has rested, if all do; infinity if none will.
     """
-    if placement is not None:
+    is_full = candidates and not find_open_replicas(relay, candidates)
+    if placement is not None or is_full:
         cause = Cause.NO_ROOM
     else:
         cause = Cause.NO_MEMORY if candidates else Cause.NO_REPLICA
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -33,11 +33,14 @@
     DecodingGroup,
     PendingPrefill,
     RetryWindow,
+    ServiceTimes,
+    find_longest_delay_s,
+    find_round_trips,
     rank_replicas,
 )
 from lycheetide.relay._usage import UsageCounter
 from lycheetide.replicas import ReplicaTable, exclude_failed_domains
-from lycheetide.routes import RouteTable
+from lycheetide.routes import DomainDelay, RouteTable
 from lycheetide.tasks import StallDetector
 
 OWN_START_RETENTION_S = 15.0
@@ -115,7 +118,8 @@
         self.metrics_exporter = MetricsExporter(self.counters)
         self.random = random.Random(node)
         self.route_table: RouteTable | None = None
-        self.activation = self._find_activation()
+        self._update_activation()
+        self.service_times = ServiceTimes()
         self.closed: frozenset[str] = frozenset()
         self.operator = TopicState({})
         self.registry = TopicState({})
@@ -154,13 +158,11 @@
         self._attempt_count = 0
         self._own_starts: dict[str, deque] = defaultdict(deque)
         self._own_placed: Counter[str] = Counter()
-        self._idle_candidates: dict[str, tuple] = {}
 
     def apply_settings(self, settings):
         """Replace the settings and update what was derived from them."""
         self.settings = settings
-        self.activation = self._find_activation()
-        self._idle_candidates.clear()
+        self._update_activation()
         for window in self._retry_windows.values():
             window.ratio = settings.retry_ratio
             window.extra = settings.retry_extra
@@ -169,15 +171,26 @@
     def apply_routing(self, routing):
         """Replace the routing configuration and update what was derived from it."""
         self.route_table = RouteTable(routing)
-        self.activation = self._find_activation()
+        self._update_activation()
+
+    def _update_activation(self):
+        """Update what the settings and the configuration in force switch on.
 
-    def _find_activation(self):
-        """Return what the settings and the configuration in force switch on."""
-        return find_activation(
+        The declared delays between failure domains count only if requests compete for
+        capacity.
+        """
+        routing = self.route_table.routing if self.route_table is not None else None
+        self.activation = find_activation(
             self.settings,
-            self.route_table.routing if self.route_table is not None else None,
+            routing,
             has_contended_capacity=self.adapter.has_contended_capacity,
         )
+        self._idle_candidates: dict[str, tuple] = {}
+        delays: tuple[DomainDelay, ...] = ()
+        if routing is not None and self.activation.is_contended:
+            delays = routing.domain_delays
+        self.round_trips = find_round_trips(delays, self.settings.failure_domain)
+        self.longest_delay_s = find_longest_delay_s(delays)
 
     def make_store_client(self, purpose):
         """Return a store client that counts its calls under a purpose."""
@@ -431,6 +444,8 @@
             is_cold=is_cold,
             is_limited=is_limited,
             pace=pace,
+            distance_s=self.round_trips.get(entry.failure_domain),
+            failure_domain=entry.failure_domain,
         )
 
     def _make_idle_candidate(self, entry, rank):
@@ -444,6 +459,8 @@
             rank=rank,
             slots=entry.slots,
             is_near=entry.failure_domain == self.settings.failure_domain,
+            distance_s=self.round_trips.get(entry.failure_domain),
+            failure_domain=entry.failure_domain,
         )
         self._idle_candidates[entry.id] = entry, candidate
         return candidate
