Let announced starts allow for the delay of messages

A margin on customers' shares was tried and left out: with a tenth, equal customers got down to 0.36 of one another's engine time. 432 tests of admission, placement and gossip pass.

--- a/lycheetide/admission/_kinds.py
+++ b/lycheetide/admission/_kinds.py
@@ -10,7 +10,7 @@
 """Replicas among which a huge prompt is usually split, as a share of all. At this share
 ten huge prompts can be read at the same time."""
 MAX_READERS = 8
-"""Further readers shorten a prefill of 7 s by less than 0.1 s each."""
+"""Each further reader shortens a prefill of 7 s by 0.1 s or less."""
 
 
 def find_kind(engine_s):
--- a/lycheetide/admission/_queue.py
+++ b/lycheetide/admission/_queue.py
@@ -26,7 +26,9 @@
 """Interval at which a waiting request is announced again."""
 START_STEP_S = 0.1
 """Requests whose latest starts differ by less are ordered by their numbers."""
-CLOCK_TOLERANCE_S = 0.02
+USUAL_DELAY_S = 0.012
+"""Time by which messages of other nodes are usually late, since hubs bundle them."""
+CLOCK_TOLERANCE_S = 0.005
 """The shared time may be set forward by so much without new steps for all entries."""
 SHARE_INTERVAL_S = 0.1
 """Interval at which the customers above their share are determined."""
@@ -235,12 +237,13 @@
     def make_message(self, waiting, *, now_s):
         """Return the message that announces a request of this node.
 
-        Its due time gives the middle of a step as the latest start.
+        Its due time gives the middle of a step as the latest start, when it arrives
+        with the usual delay.
         """
         entry = self._entries.get((waiting.node, waiting.job))
         start_s = entry.start_s if entry is not None else self._find_start_s(waiting)
         due_s = start_s + waiting.engine_s / self._count_readers(waiting.service)
-        return make_waiting_message(waiting, due_s=due_s, now_s=now_s)
+        return make_waiting_message(waiting, due_s=due_s - USUAL_DELAY_S, now_s=now_s)
 
     def _advance(self, now_s):
         """Set the current time and remove entries that were not renewed."""
@@ -313,7 +316,9 @@
                 sum(self._replicas.values()), self._usage.total_s(now_s=now_s)
             )
             above = self._usage.list_above_share(
-                capacity_s=capacity_s, now_s=now_s, waiting=self._wanted_s
+                capacity_s=capacity_s,
+                now_s=now_s,
+                waiting=self._wanted_s,
             )
         changed = above ^ self._above
         self._above = above
--- a/lycheetide/admission/_returns.py
+++ b/lycheetide/admission/_returns.py
@@ -5,8 +5,8 @@
 import xxhash
 
 KEPT_S = 2.0
-"""How long a place is kept after the announced time of return: callers add up to a
-second of their own delay and the time of a new connection."""
+"""How long a place is kept after the announced time of return. It allows for the
+caller's own delay and for a new connection."""
 EARLY_TOLERANCE_S = 0.05
 """Other nodes learn of a refusal after its caller does, so a caller that is on time
 seems early to them by the delay of the message."""
--- a/lycheetide/admission/_shares.py
+++ b/lycheetide/admission/_shares.py
@@ -124,6 +124,10 @@
     def list_above_share(self, *, capacity_s, now_s, waiting=None):
         """Return the customers that have used more than their share.
 
+        There is no margin: with a tenth, customers that all asked for more than their
+        share got 0.36 to 0.69 of one another's engine time in simulations, and 0.79 to
+        0.95 without.
+
         Parameters
         ----------
         capacity_s : float
