--- a/lycheetide/admission/__init__.py
+++ b/lycheetide/admission/__init__.py
@@ -32,7 +32,13 @@
     find_share_s,
 )
 from lycheetide.admission._types import NOBODY_AHEAD, Ahead, KindDemand, WaitingRequest
-from lycheetide.admission._wait import WaitEstimate, assess_wait, has_turn
+from lycheetide.admission._wait import (
+    Supply,
+    WaitEstimate,
+    assess_wait,
+    has_turn,
+    measure_supply,
+)
 
 __all__ = [
     "ENTRY_LIFETIME_S",
@@ -48,6 +54,7 @@
     "InvalidMessage",
     "KindDemand",
     "ReturnTable",
+    "Supply",
     "WaitEstimate",
     "WaitingRequest",
     "assess_wait",
@@ -60,6 +67,7 @@
     "make_return_key",
     "make_waiting_message",
     "make_withdrawal_message",
+    "measure_supply",
     "read_deferred_message",
     "read_waiting_message",
 ]
--- a/lycheetide/admission/_wait.py
+++ b/lycheetide/admission/_wait.py
@@ -58,8 +58,8 @@
 
 
 @dataclass(frozen=True)
-class _Supply:
-    """What the candidates have free.
+class Supply:
+    """What replicas have free, from ``measure_supply``.
 
     Parameters
     ----------
@@ -77,9 +77,7 @@
     used_tokens: float
     free_tokens: float
 
-    @property
-    def replicas(self):
-        """Number of replicas."""
+    def __len__(self):
         return len(self.backlogs)
 
 
@@ -113,8 +111,9 @@
         given that of its present attempt.
     ahead : Ahead
         Requests ahead of it.
-    candidates : sequence of Candidate
-        Replicas that may take it.
+    candidates : sequence of Candidate or Supply
+        Replicas that may take it. What they have free can be measured before, for
+        several decisions; ``engine`` isn't used then.
     now_s : float
         Current time.
     engine : EngineProfile or None, default=None
@@ -128,8 +127,8 @@
         return True
     left_s = request.due_s - now_s
     horizon_s = left_s if left_s >= MIN_HORIZON_S else LATE_HORIZON_S
-    supply = _measure_supply(candidates, engine)
-    claim = _make_claim(request, ahead, supply.replicas, horizon_s)
+    supply = measure_supply(candidates, engine)
+    claim = _make_claim(request, ahead, len(supply), horizon_s)
     return (
         claim.engine_s <= _sum_free_s(supply, horizon_s)
         and _find_slot_wait_s(supply, claim, answer_s) <= horizon_s
@@ -167,7 +166,7 @@
         return WaitEstimate(
             float("inf"), False, _find_retry_after_s(request, float("inf"), left_s)
         )
-    supply = _measure_supply(candidates, engine)
+    supply = measure_supply(candidates, engine)
     engine_wait_s, claim = _find_engine_wait_s(request, ahead, supply)
     wait_s = max(
         engine_wait_s,
@@ -219,8 +218,10 @@
     return min(own + others, own / OWN_KIND_SHARE)
 
 
-def _measure_supply(candidates, engine):
+def measure_supply(candidates, engine=None):
     """Return what replicas have free, in one pass over them."""
+    if isinstance(candidates, Supply):
+        return candidates
     # One loop instead of a sum for each field: it takes much of a decision's time.
     memory = engine.kv_tokens if engine is not None else 0
     slots = free_slots = used_tokens = free_tokens = 0
@@ -233,7 +234,7 @@
         if one.kv_tokens < memory:
             free_tokens += memory - one.kv_tokens
         backlogs.append((one.backlog_s, one.pace))
-    return _Supply(
+    return Supply(
         backlogs,
         slots,
         free_slots,
@@ -266,11 +267,11 @@
     claim : _Claim
         The claim until then.
     """
-    claim = _make_claim(request, ahead, supply.replicas, float("inf"))
+    claim = _make_claim(request, ahead, len(supply), float("inf"))
     find_time_s = _make_time_finder(supply, claim.ahead_s)
     wait_s = find_time_s(claim.ahead_s)
     for _ in range(MAX_ROUNDS):
-        claim = _make_claim(request, ahead, supply.replicas, wait_s)
+        claim = _make_claim(request, ahead, len(supply), wait_s)
         last_s, wait_s = wait_s, min(wait_s, find_time_s(claim.ahead_s))
         if wait_s >= last_s - TIME_TOLERANCE_S:
             break
--- a/lycheetide/admission/tests/test_queue.py
+++ b/lycheetide/admission/tests/test_queue.py
@@ -16,6 +16,7 @@
     WaitingRequest,
     assess_wait,
     has_turn,
+    measure_supply,
     read_waiting_message,
 )
 from lycheetide.placement import Candidate
@@ -181,6 +182,8 @@
     assert 0.0 < found.retry_after_s <= 2.0 / 3
     if not is_servable:
         assert not has_turn(request, ahead, candidates, now_s=0.0)
+    supply = measure_supply(candidates)
+    assert assess_wait(request, ahead, supply, now_s=0.0, leaves_s=2.0) == found
 
 
 def test_fleet_without_replicas_refuses_with_a_finite_retry_after():
