--- a/lycheetide/relay/_admission.py
+++ b/lycheetide/relay/_admission.py
@@ -62,6 +62,8 @@
 """Requests that decode at a replica whose slots are nearly all in use."""
 MAX_ENGINE_S = 600.0
 """Bound of a plausible engine time: the largest prompts take less than one minute."""
+MAX_TOKENS, MAX_WEIGHT = 10**8, 10**5
+"""Limits of what is announced; peers ignore more. Callers may state any size."""
 MAX_WATCHED = 32
 """Refused requests for which it is found out whether capacity came in time."""
 
@@ -494,9 +496,9 @@
         service=hash_name(call.service.name),
         customer=find_customer(call),
         engine_s=estimate_prefill_s(engine, call.size.prompt_tokens),
-        tokens=call.size.tokens,
+        tokens=min(call.size.tokens, MAX_TOKENS),
         due_s=due_s,
-        weight=call.size.weight,
+        weight=min(call.size.weight, MAX_WEIGHT),
     )
 
 
