--- a/lycheetide/admission/_queue.py
+++ b/lycheetide/admission/_queue.py
@@ -9,10 +9,10 @@
 step. So a node derives the same step from a message that is half a step late.
 """
 
-from bisect import bisect_left, insort
+from bisect import bisect_left
 from collections import defaultdict
 from dataclasses import dataclass, field
-from itertools import accumulate, islice
+from itertools import accumulate
 
 from lycheetide.admission._clock import SharedClock
 from lycheetide.admission._kinds import KINDS, count_readers, find_kind
@@ -53,28 +53,30 @@
     ----------
     orders : list of tuple
         Sort keys.
-    requests : dict
-        Requests by sort key.
+    engine_s, tokens : list
+        Demand of the request at each position.
     engine_sums, token_sums : list
         Sums over the requests before each position, as far as they are up to date.
     """
 
-    orders: list = field(default_factory=list)
-    requests: dict = field(default_factory=dict)
+    orders: list[tuple] = field(default_factory=list)
+    engine_s: list[float] = field(default_factory=list)
+    tokens: list[int] = field(default_factory=list)
     engine_sums: list[float] = field(default_factory=lambda: [0.0])
     token_sums: list[int] = field(default_factory=lambda: [0])
 
     def add(self, order, request):
         """Insert a request."""
-        insort(self.orders, order)
-        self.requests[order] = request
-        self._truncate_sums(bisect_left(self.orders, order))
+        place = bisect_left(self.orders, order)
+        self.orders.insert(place, order)
+        self.engine_s.insert(place, request.engine_s)
+        self.tokens.insert(place, request.tokens)
+        self._truncate_sums(place)
 
     def remove(self, order):
         """Remove a request."""
         place = bisect_left(self.orders, order)
-        del self.orders[place]
-        del self.requests[order]
+        del self.orders[place], self.engine_s[place], self.tokens[place]
         self._truncate_sums(place)
 
     def sum_ahead(self, order):
@@ -82,19 +84,8 @@
         count = len(self.orders) if order is None else bisect_left(self.orders, order)
         known = len(self.engine_sums) - 1
         if count > known:
-            added = [self.requests[one] for one in islice(self.orders, known, count)]
-            self.engine_sums += islice(
-                accumulate(
-                    (one.engine_s for one in added), initial=self.engine_sums[-1]
-                ),
-                1,
-                None,
-            )
-            self.token_sums += islice(
-                accumulate((one.tokens for one in added), initial=self.token_sums[-1]),
-                1,
-                None,
-            )
+            _extend_sums(self.engine_sums, self.engine_s[known:count])
+            _extend_sums(self.token_sums, self.tokens[known:count])
         return KindDemand(count, self.engine_sums[count], self.token_sums[count])
 
     def _truncate_sums(self, place):
@@ -103,6 +94,12 @@
         del self.token_sums[place + 1 :]
 
 
+def _extend_sums(sums, values):
+    """Append the cumulative sums of further values."""
+    last = sums.pop()
+    sums.extend(accumulate(values, initial=last))
+
+
 class AdmissionQueue:
     """All requests that wait for capacity, as far as this node knows.
 
@@ -115,6 +112,7 @@
     def __init__(self, usage=None):
         self._usage = usage
         self._clock = SharedClock()
+        self._sorted_shift_s = 0.0
         self._entries: dict[tuple[str, str], _Entry] = {}
         self._lines: dict[tuple[int, bool, int], _Line] = {}
         self._replicas: dict[int, int] = {}
@@ -127,11 +125,6 @@
     def __len__(self):
         return len(self._entries)
 
-    @property
-    def capacity_s(self):
-        """Engine-seconds that all known replicas can prefill in the usage window."""
-        return estimate_capacity_s(sum(self._replicas.values()))
-
     def next_number(self, *, now_s=None):
         """Return the number for a request that starts to wait.
 
@@ -143,7 +136,7 @@
         return self._clock.next_number(now_s=self._now_s if now_s is None else now_s)
 
     def note_replicas(self, service, replicas):
-        """Record the number of a service's replicas.
+        """Record the number of a service's replicas, where they prefill prompts.
 
         The order depends on it, so it should be the number in the registry, which is
         the same at all nodes, and not that of the candidates for a call.
@@ -151,6 +144,9 @@
         known = self._replicas.get(service, 0)
         self._replicas[service] = replicas
         if count_readers(known) != count_readers(replicas):
+            for entry in self._entries.values():
+                if entry.request.service == service:
+                    entry.start_s = self._find_start_s(entry.request)
             self._sort_again(lambda one: one.service == service)
 
     def note(self, waiting, *, now_s):
@@ -176,7 +172,9 @@
             return True
         if len(self._entries) >= MAX_ENTRIES:
             return False
-        if self._clock.observe(waiting.number, now_s=now_s) > CLOCK_TOLERANCE_S:
+        self._clock.observe(waiting.number, now_s=now_s)
+        if self._clock.shift_s - self._sorted_shift_s > CLOCK_TOLERANCE_S:
+            self._sorted_shift_s = self._clock.shift_s
             self._sort_again(lambda one: True)
         start_s = self._find_start_s(waiting)
         order = self._find_order(waiting, start_s)
@@ -311,8 +309,11 @@
         self._above_since_s = now_s
         above: frozenset[int] = frozenset()
         if self._wanted_s and self._replicas:
+            capacity_s = estimate_capacity_s(
+                sum(self._replicas.values()), self._usage.total_s(now_s=now_s)
+            )
             above = self._usage.list_above_share(
-                capacity_s=self.capacity_s, now_s=now_s, waiting=self._wanted_s
+                capacity_s=capacity_s, now_s=now_s, waiting=self._wanted_s
             )
         changed = above ^ self._above
         self._above = above
@@ -325,7 +326,8 @@
         for entry in affected:
             entry.line.remove(entry.order)
         for entry in affected:
-            entry.start_s = self._find_start_s(entry.request)
+            # Keeps the latest start that was announced, the middle of a step: another
+            # node that sets its time forward as well finds the same step.
             entry.order = self._find_order(entry.request, entry.start_s)
             entry.line = self._find_line(entry.request)
             entry.line.add(entry.order, entry.request)
