Follow the final signatures of the waiting queue

The queue no longer states a capacity, and only services with prompts count for it. So a customer is held to its share after refusals by the use and the refused demand of all, where before it was compared with the capacity of all services.

--- a/lycheetide/relay/_admission.py
+++ b/lycheetide/relay/_admission.py
@@ -24,9 +24,11 @@
     ReturnTable,
     WaitingRequest,
     assess_wait,
+    estimate_capacity_s,
     has_turn,
     make_deferred_message,
     make_return_key,
+    make_withdrawal_message,
     read_deferred_message,
     read_waiting_message,
 )
@@ -50,8 +52,9 @@
 MAX_RETRY_SHARE = 1 / 3
 """Largest share of the caller's remaining time for a Retry-After, so that a second
 return is possible."""
-MIN_RETRY_S = 0.05
-"""Shortest Retry-After, longer than a message takes to all nodes."""
+MIN_RETRY_S = 0.1
+"""Shortest Retry-After: longer than a message takes to all nodes, and than the time by
+which a return may seem early."""
 LEAVING_RETRY_S = 0.1
 """Retry-After of a leaving node: the other nodes know of the place by then."""
 MAX_WAIT_SHARE = 0.5
@@ -83,8 +86,9 @@
     active_until_s : float
         Time after which no known request waits or keeps a place. Calls that arrive
         later need no look at the queue.
-    refused_s : dict of int to float
-        Time of the last refusal by customer; those of other nodes under customer 0.
+    refused : dict of int to (float, float)
+        Time of the last refusal by customer, and engine time of the requests that were
+        refused shortly before; those of other nodes under customer 0.
     watched : deque of (Call, WaitingRequest)
         Latest requests that this node refused by their place in the queue.
     """
@@ -93,7 +97,7 @@
     queue: AdmissionQueue = field(init=False)
     returns: ReturnTable = field(default_factory=ReturnTable)
     active_until_s: float = float("-inf")
-    refused_s: dict[int, float] = field(default_factory=dict)
+    refused: dict[int, tuple[float, float]] = field(default_factory=dict)
     watched: deque = field(default_factory=lambda: deque(maxlen=MAX_WATCHED))
 
     def __post_init__(self):
@@ -112,17 +116,19 @@
         self.returns.note(deferred, now_s=now_s)
         self.note_activity(until_s=deferred.kept_until_s)
 
-    def note_refusal(self, customer, *, now_s):
+    def note_refusal(self, customer, engine_s, *, now_s):
         """Record that a request was refused for lack of capacity."""
-        self.refused_s[customer] = now_s
+        wanted_s = self.list_refused(now_s=now_s).get(customer, 0.0) + engine_s
+        self.refused[customer] = now_s, wanted_s
         self.note_activity(until_s=now_s + RECENT_REFUSAL_S)
 
-    def has_refused_others(self, customer, *, now_s):
-        """Tell whether a request of another customer was refused recently."""
-        return any(
-            one != customer and now_s - at_s < RECENT_REFUSAL_S
-            for one, at_s in self.refused_s.items()
-        )
+    def list_refused(self, *, now_s):
+        """Return the engine time refused recently, by customer."""
+        return {
+            customer: wanted_s
+            for customer, (at_s, wanted_s) in self.refused.items()
+            if now_s - at_s < RECENT_REFUSAL_S
+        }
 
 
 class UnqueuedPosition:
@@ -233,11 +239,7 @@
         if ahead:
             is_above = self.state.queue.is_above_share(self.customer, now_s=now_s)
         else:
-            is_above = self.state.has_refused_others(
-                self.customer, now_s=now_s
-            ) and self.state.usage.is_above_share(
-                self.customer, capacity_s=self.state.queue.capacity_s, now_s=now_s
-            )
+            is_above = self._is_above_share(len(candidates), now_s=now_s)
         if not is_above:
             return True
         if not self._is_over_share:
@@ -245,6 +247,17 @@
             self.relay.counters.add("admission.over_share")
         return False
 
+    def _is_above_share(self, replicas, *, now_s):
+        """Tell whether the customer is above its share after refusals of others."""
+        refused = self.state.list_refused(now_s=now_s)
+        if not refused.keys() - {self.customer}:
+            return False
+        usage = self.state.usage
+        capacity_s = estimate_capacity_s(replicas, usage.total_s(now_s=now_s))
+        return usage.is_above_share(
+            self.customer, capacity_s=capacity_s, now_s=now_s, waiting=refused
+        )
+
     def may_take(self, placement, candidates, *, now_s):
         """Tell whether the call has its turn and its customer may have a placement."""
         return self.has_turn(candidates, now_s=now_s) and self.accepts(
@@ -324,7 +337,7 @@
         elif candidates and not is_rest and not estimate.is_servable:
             retry_delay_s = estimate.retry_after_s
         delay_s = bound_retry_delay_s(self.call, retry_delay_s, now_s=now_s)
-        self.state.note_refusal(self.customer, now_s=now_s)
+        self.state.note_refusal(self.customer, waiting.engine_s, now_s=now_s)
         self.state.watched.append((replace(self.call, body=b""), waiting))
         if not self._is_announced:
             self.relay.counters.add("admission.refused_at_once")
@@ -549,8 +562,7 @@
         "A refused request has returned.",
         extra={"request": call.request.attempt_id},
     )
-    given = replace(claimed, kept_until_s=claimed.returns_s)
-    relay.broadcast_work(make_deferred_message(relay.node, given, now_s=now_s))
+    relay.broadcast_work(make_withdrawal_message(relay.node, claimed, now_s=now_s))
 
 
 def to_ms(duration_s):
@@ -591,7 +603,7 @@
     deferred = read_deferred_message(message, now_s=now_s)
     relay.admission.keep_place(deferred, now_s=now_s)
     if message.keeps_ms > 0:
-        relay.admission.note_refusal(0, now_s=now_s)
+        relay.admission.note_refusal(0, 0.0, now_s=now_s)
 
 
 def receive_end(relay, node, job):
@@ -602,15 +614,16 @@
 
 def refresh_admission(relay, *, dead, now_s):
     """Drop what waits at dead nodes, and record how many replicas there are."""
-    if not relay.activation.is_contended:
+    if not relay.activation.is_contended or relay.route_table is None:
         return
     queue = relay.admission.queue
     queue.drop_nodes(dead)
     counts = Counter(
         known.entry.service for known in list(relay.replicas.replicas.values())
     )
-    for service, count in counts.items():
-        queue.note_replicas(hash_name(service), count)
+    for service in relay.route_table.services.values():
+        if service.engine is not None:
+            queue.note_replicas(hash_name(service.name), counts[service.name])
     # Entries expire, as do the ids of those that ended, when the time is set.
     queue.is_above_share(0, now_s=now_s)
 
