Suspect a silent replica once no requests wait any more

A stay for lack of a turn, which shows only load, hid the later stay for another reason, so that the replica wasn't suspected. Each is now recorded once.

--- a/lycheetide/relay/_admission.py
+++ b/lycheetide/relay/_admission.py
@@ -265,7 +265,12 @@
         )
 
     def find_wait_s(self, wait_s):
-        """Return the longest wait of the call, which may be longer than ``wait_s``."""
+        """Return the longest wait of the call, which may be longer than ``wait_s``.
+
+        It isn't for a call that may have run: an answer with an error may be at hand.
+        """
+        if self.call.may_have_run:
+            return wait_s
         received_s = self.call.request.received_s
         share_s = MAX_WAIT_SHARE * (find_leave_s(self.call) - received_s)
         return max(wait_s, received_s + share_s - self.begun_s)
--- a/lycheetide/relay/_timeouts.py
+++ b/lycheetide/relay/_timeouts.py
@@ -176,17 +176,20 @@
 
 
 def make_stay_recorder(relay, call, replica):
-    """Return a function that records once that a request stays at a silent replica."""
-    is_recorded = False
+    """Return a function that records that a request stays at a silent replica.
+
+    It records that once for lack of a turn, and once for all other reasons.
+    """
+    recorded: set[bool] = set()
 
     def record_stay(denial):
-        nonlocal is_recorded
-        if is_recorded:
+        # While requests wait, silence of a replica that is alive shows only its load,
+        # and a suspicion would take the replica from those that wait.
+        shows_load = denial is RetryDenial.NO_TURN
+        if shows_load in recorded:
             return
-        is_recorded = True
-        if denial is not RetryDenial.NO_TURN:
-            # While requests wait, silence of a replica that is alive shows only its
-            # load, and a suspicion would take it from those that wait.
+        recorded.add(shows_load)
+        if not shows_load:
             suspect_silent(relay, replica, call.paths.get(replica, ""), "silent")
         relay.counters.add(f"stayed.{denial}")
         relay.log.info(
