--- a/lycheetide/relay/_admission.py
+++ b/lycheetide/relay/_admission.py
@@ -22,6 +22,7 @@
     DeferredRequest,
     InvalidMessage,
     ReturnTable,
+    Supply,
     WaitingRequest,
     assess_wait,
     estimate_capacity_s,
@@ -29,6 +30,7 @@
     make_deferred_message,
     make_return_key,
     make_withdrawal_message,
+    measure_supply,
     read_deferred_message,
     read_waiting_message,
 )
@@ -192,6 +194,7 @@
         self._is_announced = False
         self._is_served = False
         self._is_over_share = False
+        self._supply: tuple[list, Supply] | None = None
         self._ahead: tuple[float, Ahead] = (float("-inf"), NOBODY_AHEAD)
 
     @cached_property
@@ -223,8 +226,8 @@
         if not ahead:
             return True
         return has_turn(
-            self._find_present(now_s=now_s), ahead, candidates, now_s=now_s,
-            engine=self.engine, answer_s=self.answer_s,
+            self._find_present(now_s=now_s), ahead, self._measure(candidates),
+            now_s=now_s, answer_s=self.answer_s,
         )  # fmt: skip
 
     def accepts(self, placement, candidates, *, now_s):
@@ -405,13 +408,18 @@
         due_s = self.call.request.received_s + target_s
         return replace(self._find_waiting(now_s=now_s), due_s=due_s)
 
+    def _measure(self, candidates):
+        """Return what the candidates have free, measured once per list of them."""
+        if self._supply is None or self._supply[0] is not candidates:
+            self._supply = candidates, measure_supply(candidates, self.engine)
+        return self._supply[1]
+
     def _assess(self, candidates, *, now_s):
         """Return the estimated wait of the call and the requests ahead of it."""
         _, ahead = self._look_ahead(now_s=now_s)
         estimate = assess_wait(
-            self._find_present(now_s=now_s), ahead, candidates, now_s=now_s,
-            engine=self.engine, leaves_s=find_leave_s(self.call),
-            answer_s=self.answer_s,
+            self._find_present(now_s=now_s), ahead, self._measure(candidates),
+            now_s=now_s, leaves_s=find_leave_s(self.call), answer_s=self.answer_s,
         )  # fmt: skip
         return estimate, ahead
 
