--- a/lycheetide/placement/_choose.py
+++ b/lycheetide/placement/_choose.py
@@ -11,6 +11,7 @@
 from lycheetide.placement._estimate import estimate_prefill_s
 from lycheetide.placement._pack import SHORT_PREFILL_S, pack_prompt
 from lycheetide.placement._replica_memory import has_memory
+from lycheetide.placement._slots import has_enough_slots, queue_prompt
 from lycheetide.placement._spread import MAX_HELPERS, spread_prompt
 from lycheetide.placement._types import Arrivals, Candidate, RequestSize
 from lycheetide.routes import EngineProfile
@@ -47,6 +48,7 @@
     draw: float = 0.0,
     reserved: int = 0,
     margin_tokens: int = 0,
+    is_contended: bool = False,
 ):
     """Return the placement of a prompt, or None if no replica has memory for it.
 
@@ -77,6 +79,8 @@
         Number of replicas, the first by rank, that are kept for short prompts.
     margin_tokens : int, default=0
         Memory of each replica that is left free for unknown requests.
+    is_contended : bool, default=False
+        Whether short prompts for which there is no slot in time are refused.
 
     Returns
     -------
@@ -96,4 +100,11 @@
     ]
     if not fitting:
         return None
+    if is_contended and not has_enough_slots(fitting, unknown):
+        placement = queue_prompt(
+            engine, size, fitting, left_s=target_s if left_s is None else left_s,
+            patience_s=patience_s, unknown=unknown, draw=draw,
+        )  # fmt: skip
+        if placement is not None:
+            return placement
     return pack_prompt(engine, size, fitting, unknown=unknown, draw=draw)
--- a/lycheetide/placement/_spread.py
+++ b/lycheetide/placement/_spread.py
@@ -11,13 +11,19 @@
 would be late, and the number with the lowest cost is used.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from lycheetide.placement._estimate import estimate_pass_s, estimate_prefill_s
 from lycheetide.placement._memory import needs_several_replicas, share_memory
 from lycheetide.placement._pack import RESERVED_SLOTS
 from lycheetide.placement._replica_memory import has_memory
-from lycheetide.placement._types import Arrivals, Candidate, Placement, RequestSize
+from lycheetide.placement._types import (
+    LATENESS_LOSS,
+    Arrivals,
+    Candidate,
+    Placement,
+    RequestSize,
+)
 from lycheetide.placement._waits import estimate_slot_wait_s, wait_s
 
 MAX_HELPERS = 16
@@ -27,8 +33,6 @@
 ON_TIME_SHARE = 0.7
 """Fraction of the target up to which a first event isn't at risk of being late. The
 rest is a margin for delays that the estimate doesn't include."""
-LATENESS_LOSS = 0.75
-"""Fraction of its value that a request loses by being late."""
 WAITING_COST = 0.1
 """Cost of waiting for as long as the target, as a fraction of the prompt's weight. A
 request that is answered sooner delays others for less time and is exposed to fewer
@@ -106,15 +110,12 @@
         Pause of its decoding requests without the part, in seconds.
     harmed_weight : float
         Weight of the decoding requests that this pause is already too long for.
-    reserved_per_s : float
-        Weight per second of the short prompts for which the replica is reserved.
     """
 
     candidate: Candidate
     wait_s: float
     pause_s: float
     harmed_weight: float
-    reserved_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -176,9 +177,9 @@
         Maximum number of replicas that take part besides the first. It is ignored if
         the prompt needs the memory of several replicas.
     reserved : int, default=0
-        Number of replicas, the first by rank, that are kept for short prompts. A part
-        of the prompt is prefilled there only if that is worth more than the short
-        prompts that arrive there meanwhile, or if no other replica is left.
+        Number of replicas, the first by rank, that are kept for short prompts. The
+        prompt is not prefilled there if it weighs less than the short prompts that
+        arrive there meanwhile, unless no other replica is left.
     margin_tokens : int, default=0
         Memory of each replica that is left free for unknown requests.
 
@@ -196,6 +197,8 @@
         patience_s,
         margin_tokens,
     )
+    if reserved:
+        candidates = _leave_reserved(candidates, prompt, arrivals, reserved)
     if needs_several_replicas(engine, size.tokens):
         # A prompt this large needs the memory of several replicas, so helpers are
         # allowed even if a replica refused the request with helpers before.
@@ -203,8 +206,6 @@
     max_readers = min(max_helpers + 1, len(candidates))
     counts = [count for count in READER_COUNTS if count < max_readers] + [max_readers]
     replicas = [_assess_replica(engine, candidate) for candidate in candidates]
-    if reserved:
-        replicas = _mark_reserved(replicas, arrivals, reserved)
     plans = (_price_plan(engine, prompt, replicas, arrivals, count) for count in counts)
     feasible = [plan for plan in plans if plan is not None]
     if not feasible:
@@ -225,21 +226,18 @@
     )
 
 
-def _mark_reserved(replicas, arrivals, reserved):
-    """Return the replicas with the weight of the short prompts that they are kept for.
+def _leave_reserved(candidates, prompt, arrivals, reserved):
+    """Return the replicas that a prompt may use while some are kept for short prompts.
 
-    Short prompts are assumed to arrive evenly at the reserved replicas. If no other
-    replica is left, none of them counts as reserved.
+    Short prompts are assumed to arrive evenly at the reserved replicas. A prompt that
+    weighs more per second of its prefill than they do may use all replicas: it would
+    lose more by being late than it delays.
     """
-    if all(replica.candidate.rank < reserved for replica in replicas):
-        return replicas
-    per_s = SHORT_WEIGHT * arrivals.per_s / reserved
-    return [
-        replace(replica, reserved_per_s=per_s)
-        if replica.candidate.rank < reserved
-        else replica
-        for replica in replicas
-    ]
+    arriving_weight = SHORT_WEIGHT * arrivals.per_s / reserved * prompt.prefill_s
+    if prompt.size.weight >= arriving_weight:
+        return candidates
+    others = [candidate for candidate in candidates if candidate.rank >= reserved]
+    return others or candidates
 
 
 def _price_plan(engine, prompt, replicas, arrivals, count):
@@ -310,8 +308,6 @@
             harm = candidate.disturbed_weight(required_gap_s) - replica.harmed_weight
         if candidate.pending_prefills:
             harm += candidate.overtaken_weight(own_part_s)
-        if replica.reserved_per_s:
-            harm += replica.reserved_per_s * own_part_s
         read_by_s = replica.wait_s + own_part_s
         own_cost = own_costs.get(read_by_s)
         if own_cost is None:
--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -201,6 +201,7 @@
         margin_tokens=find_margin_tokens(
             relay, engine, candidates, arrivals, now_s=now_s
         ),
+        is_contended=relay.activation.is_contended,
     )
 
 
