--- a/lycheetide/relay/tests/test_admission.py
+++ b/lycheetide/relay/tests/test_admission.py
@@ -4,7 +4,9 @@
 """
 
 import time
+from contextlib import ExitStack
 from dataclasses import replace
+from functools import partial
 from types import SimpleNamespace
 
 import anyio
@@ -32,6 +34,7 @@
 from lycheetide.relay._outcomes import Refusal
 from lycheetide.relay._refusals import check_refusal
 from lycheetide.relay._selection import choose_placement, list_candidates
+from lycheetide.relay.tests.test_cold_limits import wait_for_peers
 from lycheetide.routes import Customer, Route, RouteKind, Service, ServiceShare
 from standins.large import ENGINE, SERVICE, make_large_relay
 from standins.relay_deployment import CUSTOMER, RelayDeployment
@@ -54,7 +57,7 @@
 class Nodes:
     """Nodes that hear each other at once, as if a hub forwarded their messages."""
 
-    def __init__(self, *names, contracts=("pressure",)):
+    def __init__(self, stack, *names, contracts=("pressure",)):
         self.sent = []
         self.messengers = {}
         for name in names:
@@ -67,6 +70,7 @@
             )
             relay.broadcast_work = lambda message, name=name: self.send(name, message)
             self.messengers[name] = PeerMessenger(relay, None)
+            stack.callback(self.messengers[name].close)
             refresh_admission(relay, dead=(), now_s=time.monotonic())
 
     def __getitem__(self, name):
@@ -75,7 +79,7 @@
     def send(self, sender, message, *, now_s=None):
         """Deliver a message to all other nodes."""
         self.sent.append(message)
-        now_s = time.monotonic() if now_s is None else now_s
+        now_s = now_s or time.monotonic()
         for name, messenger in self.messengers.items():
             if name != sender:
                 data = encode_message(Bundle("hub", (message,)))
@@ -93,22 +97,14 @@
 
 @pytest.fixture
 def make_nodes():
-    made = []
-
-    def make(*names, **options):
-        made.append(Nodes(*names, **options))
-        return made[-1]
-
-    yield make
-    for nodes in made:
-        for messenger in nodes.messengers.values():
-            messenger.close()
+    with ExitStack() as stack:
+        yield partial(Nodes, stack)
 
 
 def make_call(
     *, customer="a", prompt_id="p1", left_s=9.0, now_s=None, tokens=HUGE_TOKENS
 ):
-    now_s = time.monotonic() if now_s is None else now_s
+    now_s = now_s or time.monotonic()
     request = CallerRequest(
         "0" * 16, "POST", b"/s", "h", (), "", now_s, left_s, 0, 0, b"", prompt_id
     )
@@ -123,7 +119,6 @@
 
 
 def make_position(relay, **options):
-    """Return a new position in the queue."""
     call = make_call(**options)
     return QueuePosition(relay, call, now_s=call.request.received_s)
 
@@ -281,15 +276,9 @@
 
 @pytest.mark.parametrize(
     ("node", "after_s", "prompt_id", "keeps"),
-    [
-        ("a", 0.0, "p1", True),
-        ("b", 0.0, "p1", True),
-        ("b", -0.5, "p1", False),
-        ("b", 4.0, "p1", False),
-        ("b", 0.0, "p2", False),
-        ("b", 0.0, "", False),
-    ],
-)
+    [("a", 0.0, "p1", True), ("b", 0.0, "p1", True), ("b", -0.5, "p1", False),
+     ("b", 4.0, "p1", False), ("b", 0.0, "p2", False), ("b", 0.0, "", False)],
+)  # fmt: skip
 async def test_a_caller_that_returns_as_told_keeps_its_place(
     make_nodes, node, after_s, prompt_id, keeps
 ):
@@ -346,11 +335,10 @@
     nodes = make_nodes("a", "b")
     make_position(nodes["b"]).announce(now_s=time.monotonic())
     relay, call = nodes["a"], make_call()
-    monkeypatch.setattr(_timeouts, "check_silent_path", lambda *_, **__: False)
+    liveness_s = 60.0 if is_alive else -1.0
+    for name, result in (("check_silent_path", False), ("find_liveness_s", liveness_s)):
+        monkeypatch.setattr(_timeouts, name, lambda *_, _result=result, **__: _result)
     monkeypatch.setattr(_timeouts, "suspect_silent", lambda *_: None)
-    monkeypatch.setattr(
-        _timeouts, "find_liveness_s", lambda *_, **__: 60.0 if is_alive else -1.0
-    )
     started = []
     attempts = SimpleNamespace(is_single=True, start=lambda: started.append(1))
     attempt = SimpleNamespace(replica="i-0000000000", at_s=time.monotonic() - 60.0)
@@ -433,9 +421,7 @@
     async with RelayDeployment(relays=2, replicas=3) as fleet:
         for one in fleet.relays:
             one.apply_settings(replace(one.settings, contracts=("pressure",)))
-        await fleet.wait_for(
-            lambda: all(one.peers.alive(now_s=0.0) for one in fleet.relays)
-        )
+        await wait_for_peers(fleet)
         answers = []
 
         async def ask(tokens):
