--- a/lycheetide/relay/_ingress.py
+++ b/lycheetide/relay/_ingress.py
@@ -42,6 +42,7 @@
     error: Exception | None = CallerDisconnected()
     try:
         async with anyio.create_task_group() as group:
+            reply.group = group
             held_body = None
             if relay.activation.is_contended:
                 held_body = HeldBody(relay, request, find_body_size(scope["headers"]))
--- a/lycheetide/relay/_memory.py
+++ b/lycheetide/relay/_memory.py
@@ -18,6 +18,9 @@
 RELEASE_INTERVAL_S = 1.0
 """Shortest time between two calls by which the allocator returns its free memory. One
 took 25 ms after 150 MB were freed, otherwise 4 ms, in which the node does nothing."""
+PEAK_STEP_BYTES = 65_536
+"""Rise of the peak of held bytes from which on it is counted: each count is a datagram
+to statsd."""
 MAX_RETRY_SHARE = 1 / 3
 """Longest such delay, as a share of the caller's remaining time."""
 
@@ -82,8 +85,8 @@
     while find_stage(MemoryStage.NORMAL) is MemoryStage.ABORT_SLOWEST:
         if not _abort_slowest(relay, memory.replies.values(), now_s=now_s):
             break
-    if memory.held.peak > memory.reported_peak_bytes:
-        rise = memory.held.peak - memory.reported_peak_bytes
+    rise = memory.held.peak - memory.reported_peak_bytes
+    if rise >= PEAK_STEP_BYTES:
         relay.counters.add("memory.held_peak_bytes", rise)
         memory.reported_peak_bytes = memory.held.peak
     return stage
--- a/lycheetide/relay/_reply.py
+++ b/lycheetide/relay/_reply.py
@@ -38,6 +38,14 @@
         The ASGI ``send`` function.
     closes_connection : callable
         Returns whether the connection should be closed after this answer.
+
+    Attributes
+    ----------
+    group : anyio.abc.TaskGroup or None
+        Runs what belongs to the request; it is cancelled when the request ends.
+    waited_until_s : float
+        Until when the reading last waited for the caller; writing without a buffer
+        isn't told apart from reading.
     """
 
     waited_until_s = 0.0
@@ -49,6 +57,7 @@
         self.is_complete = False
         self.status = 0
         self.notes = {}
+        self.group = None
         self._transport = None
 
     def note(self, **fields):
--- a/lycheetide/relay/_writer.py
+++ b/lycheetide/relay/_writer.py
@@ -59,7 +59,7 @@
     relay : RelayState
         The state of this node.
     reply : Reply
-        Writes to the caller.
+        Writes to the caller; the writer task runs in its group.
     customer : str
         Customer that the held bytes count for.
     request_id : str
@@ -83,13 +83,13 @@
         self.is_complete = False
         self.waited_until_s = 0.0
         self.error = None
-        self.group: Any = None
+        self.scope = anyio.CancelScope()
         self._relay = relay
         self._reply = reply
         self._parts: deque[_Part] = deque()
         self._is_writing = False
         self._is_cut = False
-        self._progress = anyio.Event()
+        self._progress: anyio.Event | None = None
 
     @property
     def held_bytes(self):
@@ -128,7 +128,7 @@
         size += PART_BYTES
         if self.held_bytes + size > MAX_CALLER_BYTES:
             while self._parts and self.held_bytes + size > MAX_CALLER_BYTES:
-                await self._progress.wait()
+                await self._wait_for_progress()
             self.waited_until_s = read_clock()
         self._hold(_Part(size, data, None, record, read_clock()))
 
@@ -155,14 +155,14 @@
     async def flush(self):
         """Wait until all that is held has been written."""
         while self._parts:
-            await self._progress.wait()
+            await self._wait_for_progress()
 
     def abort(self, error):
         """Drop what is held and end the request with an error."""
         self.error = self.error or error
         self._is_cut = True
         self._drop()
-        self.group.cancel_scope.cancel()
+        self.scope.cancel()
 
     def close(self):
         """Drop what is held when the request has ended."""
@@ -196,7 +196,7 @@
         self._parts.append(part)
         if not self._is_writing:
             self._is_writing = True
-            self.group.start_soon(self._write_parts)
+            self._reply.group.start_soon(self._write_parts)
         if part.size:
             self._relay.memory.held.hold(self.customer, self.key, part.size)
             update_memory(self._relay, now_s=part.held_since_s)
@@ -221,14 +221,24 @@
                 self._note_progress()
         except CallerDisconnected as error:
             self.error = self.error or error
-            self.group.cancel_scope.cancel()
+            self.scope.cancel()
+        except Exception as fault:
+            # An unexpected error must end only the request in which it occurred.
+            self.error = self.error or StreamAborted(repr(fault))
+            self.scope.cancel()
         finally:
             self._is_writing = False
 
     def _note_progress(self):
         """Wake the tasks that wait for the caller."""
-        progress, self._progress = self._progress, anyio.Event()
-        progress.set()
+        if self._progress is not None:
+            self._progress.set()
+            self._progress = None
+
+    async def _wait_for_progress(self):
+        """Wait until the caller has read some more."""
+        self._progress = self._progress or anyio.Event()
+        await self._progress.wait()
 
 
 async def serve_buffered_reply(relay, call, reply, serve):
@@ -254,7 +264,7 @@
     error: Exception | None = None
     relay.memory.replies[buffered.key] = buffered
     try:
-        async with anyio.create_task_group() as buffered.group:
+        with buffered.scope:
             try:
                 await serve(relay, call, buffered)
             except (Refusal, StreamAborted, CallerDisconnected) as ended:
@@ -263,7 +273,6 @@
                 # Also before an abort: the caller can resume after the last event that
                 # it received.
                 await buffered.flush()
-            buffered.group.cancel_scope.cancel()
     finally:
         del relay.memory.replies[buffered.key]
         buffered.close()
--- a/lycheetide/relay/tests/test_slow_callers.py
+++ b/lycheetide/relay/tests/test_slow_callers.py
@@ -1,6 +1,7 @@
 """Callers read slowly or not at all, by themselves or hundreds at a time."""
 
 from types import SimpleNamespace
+from typing import Any
 
 import anyio
 import pytest
@@ -217,8 +218,8 @@
         await buffered.send_whole(200, [], body)
         assert buffered.is_complete
 
-    async with anyio.create_task_group() as group:
-        group.start_soon(serve_buffered_reply, relay, make_call(1), reply, serve)
+    async with anyio.create_task_group() as reply.group:
+        reply.group.start_soon(serve_buffered_reply, relay, make_call(1), reply, serve)
         await anyio.wait_all_tasks_blocked()
         assert relay.memory.held.total == len(body)
         reply.can_read.set()
@@ -230,6 +231,7 @@
     """A reply to a caller that doesn't read, without a connection."""
 
     is_started = True
+    group: Any = None
 
     def __init__(self):
         self.is_aborted = False
@@ -291,7 +293,8 @@
             aborted.append(index)
 
     async with anyio.create_task_group() as group:
-        for index in range(len(replies)):
+        for index, reply in enumerate(replies):
+            reply.group = group
             group.start_soon(run, index)
         await anyio.wait_all_tasks_blocked()
         held = relay.memory.held
