--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -147,18 +147,18 @@
     )  # fmt: skip
 
 
-def measure_phases(cases, seeds, processes):
+def measure_phases(cases, policies, seeds, processes):
     """Return the rows of the table of policies, with standard errors over seeds.
 
     ``gain`` is the difference in worth from the first policy, on the same arrivals.
     """
-    keys = list(itertools.product(cases, PHASE_LOADS, PHASE_POLICIES, seeds))
+    keys = list(itertools.product(cases, PHASE_LOADS, policies, seeds))
     with Pool(processes) as pool:
         runs = dict(zip(keys, pool.starmap(run_phases, keys, 1), strict=True))
     rows = []
-    for case, load, policy in itertools.product(cases, PHASE_LOADS, PHASE_POLICIES):
+    for case, load, policy in itertools.product(cases, PHASE_LOADS, policies):
         own = [runs[case, load, policy, seed] for seed in seeds]
-        first = [runs[case, load, PHASE_POLICIES[0], seed] for seed in seeds]
+        first = [runs[case, load, policies[0], seed] for seed in seeds]
         gains = [run.worth - base.worth for run, base in zip(own, first, strict=True)]
         row = {"case": case, "load": load, "policy": policy, "seeds": len(seeds)}
         worth = statistics.fmean(run.worth for run in own)
@@ -200,12 +200,17 @@
         "--case", action="append", choices=PHASE_CASES, default=[],
         help="simulate only this case with phases; may be given several times",
     )  # fmt: skip
+    parser.add_argument(
+        "--policy", action="append", choices=RELAY_POLICIES, default=[],
+        help="simulate only this policy; gains are over the first one",
+    )  # fmt: skip
     parser.add_argument("--seeds", type=int, default=3, help="of cases with phases")
     parser.add_argument("--processes", type=int, default=2)
     args = parser.parse_args()
     if args.case:
         seeds = range(11, 11 + args.seeds)
-        rows = measure_phases(args.case, seeds, args.processes)
+        policies = args.policy or PHASE_POLICIES
+        rows = measure_phases(args.case, policies, seeds, args.processes)
         for row in rows:
             print(row)
         if args.write:
