--- a/lycheetide/placement/_slots.py
+++ b/lycheetide/placement/_slots.py
@@ -27,11 +27,14 @@
 
 def has_enough_slots(candidates, unknown):
     """Return whether the free slots suffice for the requests that may be in flight."""
-    return SLOTS_PER_UNKNOWN_REQUEST * unknown <= _count_free(
-        candidate.slots - RESERVED_SLOTS - candidate.writers
-        for candidate in candidates
-        if _is_open(candidate)
-    )
+    missing = SLOTS_PER_UNKNOWN_REQUEST * unknown
+    for candidate in candidates:
+        # Mostly the first few replicas suffice, which keeps this check cheap.
+        if missing <= 0.0:
+            break
+        if _is_open(candidate):
+            missing -= max(0, candidate.slots - RESERVED_SLOTS - candidate.writers)
+    return missing <= 0.0
 
 
 def queue_prompt(engine, size, candidates, *, left_s, patience_s, unknown, draw):
