--- a/lycheetide/placement/_choose.py
+++ b/lycheetide/placement/_choose.py
@@ -91,7 +91,7 @@
             engine, size, candidates, target_s=target_s, left_s=left_s,
             patience_s=patience_s, arrivals=arrivals, max_helpers=max_helpers,
             reserved=reserved,
-            margin_tokens=margin_tokens,
+            margin_tokens=margin_tokens, draw=draw,
         )  # fmt: skip
     fitting = [
         candidate
@@ -107,4 +107,11 @@
         )  # fmt: skip
         if placement is not None:
             return placement
-    return pack_prompt(engine, size, fitting, unknown=unknown, draw=draw)
+    return pack_prompt(
+        engine,
+        size,
+        fitting,
+        unknown=unknown,
+        draw=draw,
+        draws_always=margin_tokens > 0,
+    )
--- a/lycheetide/relay/_capacity.py
+++ b/lycheetide/relay/_capacity.py
@@ -77,6 +77,8 @@
 
 def list_restarted(relay, call):
     """Return the replicas that restarted since they reported an error to a call."""
+    if not relay.activation.is_contended:
+        return set()
     return {
         replica
         for replica, born_ms in call.error_starts.items()
--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -215,7 +215,7 @@
     prefill_s = estimate_prefill_s(engine, call.size.prompt_tokens)
     if not relay.activation.is_contended or prefill_s <= SHORT_PREFILL_S:
         return 0
-    return relay.job_table.demand.count_reserved(
+    return relay.demand.count_reserved(
         call.service.name, engine, len(candidates), now_s=now_s
     )
 
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -122,13 +122,13 @@
         self.metrics_exporter = MetricsExporter(self.counters)
         self.random = random.Random(node)
         self.route_table: RouteTable | None = None
+        self.job_table, self.demand = JobTable(), DemandTable(self._find_service)
         self._update_activation()
         self.service_times = ServiceTimes()
         self.closed: frozenset[str] = frozenset()
         self.operator = TopicState({})
         self.registry = TopicState({})
         self.replicas = ReplicaTable()
-        self.job_table = JobTable(DemandTable(self._find_service))
         self.failure_detector = FailureDetector()
         self.message_delays = DelayEstimator()
         self.memory_queue, self.admission = MemoryQueue(), AdmissionState()
@@ -189,6 +189,7 @@
             routing,
             has_contended_capacity=self.adapter.has_contended_capacity,
         )
+        self.job_table.demand = self.demand if self.activation.is_contended else None
         self._idle_candidates: dict[str, tuple] = {}
         delays: tuple[DomainDelay, ...] = ()
         if routing is not None and self.activation.is_contended:
