--- a/lycheetide/relay/tests/test_reserved.py
+++ b/lycheetide/relay/tests/test_reserved.py
@@ -21,11 +21,12 @@
     is_contended, tokens, expected
 ):
     """Other deployments must place as before, and short prompts everywhere."""
-    table = JobTable(DemandTable(lambda _: "service"))
+    demand = DemandTable(lambda _: "service")
+    table = JobTable(demand)
     for number in range(40):
         job = Job(f"{number}", "n", (JobPart("r", 0.03),), 0.0, 60.0)
         table.start(job, now_s=0.0)
-    relay = SimpleNamespace(activation=Activation(is_contended), job_table=table)
+    relay = SimpleNamespace(activation=Activation(is_contended), demand=demand)
     call = SimpleNamespace(service=SERVICE, size=RequestSize(tokens, 500))
     found = count_reserved(relay, call, [object()] * 60, now_s=2.0)
     assert found == expected
