Take out the limit on shares of memory and the draw among equal readers

The smallest margin of 5,000 tokens stays. Long prompts leave reserved replicas alone only while at least half of the replicas are left to them.

--- a/lycheetide/placement/_choose.py
+++ b/lycheetide/placement/_choose.py
@@ -90,8 +90,7 @@
         return spread_prompt(
             engine, size, candidates, target_s=target_s, left_s=left_s,
             patience_s=patience_s, arrivals=arrivals, max_helpers=max_helpers,
-            reserved=reserved,
-            margin_tokens=margin_tokens, draw=draw,
+            reserved=reserved, margin_tokens=margin_tokens,
         )  # fmt: skip
     fitting = [
         candidate
@@ -107,11 +106,4 @@
         )  # fmt: skip
         if placement is not None:
             return placement
-    return pack_prompt(
-        engine,
-        size,
-        fitting,
-        unknown=unknown,
-        draw=draw,
-        draws_always=margin_tokens > 0,
-    )
+    return pack_prompt(engine, size, fitting, unknown=unknown, draw=draw)
--- a/lycheetide/placement/_memory.py
+++ b/lycheetide/placement/_memory.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from lycheetide.placement._replica_memory import limit_share_tokens
+from lycheetide.placement._replica_memory import count_free_tokens
 from lycheetide.placement._types import Candidate, MemoryShare
 
 MAX_MEMORY_SHARE = 0.6
@@ -26,14 +26,7 @@
     )
 
 
-def share_memory(
-    engine,
-    tokens,
-    candidates: Sequence[Candidate],
-    *,
-    margin_tokens=0,
-    share_limit=1.0,
-):
+def share_memory(engine, tokens, candidates: Sequence[Candidate], *, margin_tokens=0):
     """Return how a request's KV cache is distributed over replicas.
 
     Replicas with the least memory in use are chosen first. Ties go to the smallest
@@ -49,8 +42,6 @@
         Replicas that may take part.
     margin_tokens : int, default=0
         Memory of each replica that is left free for unknown requests.
-    share_limit : float, default=1.0
-        Largest fraction of a replica's free memory that one share may use.
 
     Returns
     -------
@@ -72,15 +63,14 @@
         return None, ()
     first, *others = order
     room = engine.kv_tokens - first.kv_tokens
-    limit = limit_share_tokens(engine, first, margin_tokens, share_limit)
-    left = tokens - int(min(FIRST_MEMORY_SHARE * engine.kv_tokens, 0.8 * room, limit))
+    free = max(0, count_free_tokens(engine, first, margin_tokens))
+    left = tokens - int(min(FIRST_MEMORY_SHARE * engine.kv_tokens, 0.8 * room, free))
     shares = []
     for other in others:
         if left <= 0:
             break
         room = MAX_MEMORY_SHARE * (engine.kv_tokens - other.kv_tokens)
-        limit = limit_share_tokens(engine, other, margin_tokens, share_limit)
-        part = int(min(left, room, limit))
+        part = int(min(left, room, count_free_tokens(engine, other, margin_tokens)))
         if part <= 0:
             break
         shares.append(MemoryShare(other, part))
--- a/lycheetide/placement/_pack.py
+++ b/lycheetide/placement/_pack.py
@@ -58,7 +58,7 @@
     return starts_per_s * propagation_delay_s + BURST_NODE_SHARE * nodes
 
 
-def pack_prompt(engine, size, candidates, *, unknown=0.0, draw=0.0, draws_always=False):
+def pack_prompt(engine, size, candidates, *, unknown=0.0, draw=0.0):
     """Return the placement of a short prompt.
 
     Nodes that choose by the same outdated load would all find the same replica the
@@ -79,9 +79,6 @@
         include.
     draw : float, default=0.0
         Random number, at least 0 and less than 1.
-    draws_always : bool, default=False
-        Whether a replica is also drawn if none may be packed onto. Otherwise all nodes
-        with the same news choose the same one, beyond its slots.
 
     Returns
     -------
@@ -99,11 +96,9 @@
         available.sort(key=lambda replica: replica.rank)
         first = _draw_replica(available, SLOTS_PER_UNKNOWN_REQUEST * unknown, draw)
     else:
-        ordered = sorted(
+        first = min(
             candidates, key=lambda replica: estimate_unsplit_s(engine, replica, size)
         )
-        count = 1 + int(unknown) if draws_always else 1
-        first = ordered[int(draw * min(count, len(ordered)))]
     return Placement(
         first,
         (),
--- a/lycheetide/placement/_replica_memory.py
+++ b/lycheetide/placement/_replica_memory.py
@@ -17,16 +17,9 @@
 """Largest fraction of a replica's memory that is left for unknown requests. A prompt
 that isn't shared takes up to 0.6 of it, and would otherwise fit on no idle replica
 during a burst."""
-
 MIN_MARGIN_TOKENS = 5_000
 """Memory that is left free for unknown requests if none is in flight, since several
 nodes may receive the first ones at once: about one short request."""
-SHARE_LIMITS = (0.25, 0.5)
-"""Largest fractions of a replica's free memory that one share of a prompt uses while
-others may be unknown, the preferred one first. In a phase of huge prompts, up to four
-of them were placed on one replica within 30 ms, so four shares should fit."""
-SPARE_READERS = 4
-"""Equally cheap replicas to choose from, besides as many as are needed."""
 
 
 def list_open_replicas(candidates: Sequence[Candidate]):
@@ -74,48 +67,3 @@
 def has_memory(engine, size, candidate, margin_tokens=0):
     """Return whether a replica has enough KV cache memory for a request."""
     return size.tokens <= count_free_tokens(engine, candidate, margin_tokens)
-
-
-def choose_memory_margins(size, margin_tokens):
-    """Return the margins to try for a long prompt, in tokens, the preferred one first.
-
-    Nodes with the same news choose the same replicas. The mean request is far smaller
-    than a long prompt, so a replica is preferred that could hold the prompt twice. If
-    there is none, the prompt is not refused for a second one that is improbable.
-    """
-    if not margin_tokens:
-        return (0,)
-    return max(margin_tokens, size.tokens), margin_tokens
-
-
-def list_share_limits(margin_tokens):
-    """Return the largest fractions of a replica's free memory for one share to try."""
-    return SHARE_LIMITS if margin_tokens else (1.0,)
-
-
-def limit_share_tokens(engine, candidate, margin_tokens=0, share_limit=1.0):
-    """Return the largest share of a prompt that a replica may hold, in tokens."""
-    free_tokens = count_free_tokens(engine, candidate)
-    limit_tokens = min(free_tokens - margin_tokens, share_limit * free_tokens)
-    return max(0, int(limit_tokens))
-
-
-def rotate_equals(readers, count, draw):
-    """Return readers in another order among those that are equally cheap.
-
-    Nodes with the same news would all choose the same ones, and together exceed their
-    memory.
-
-    Parameters
-    ----------
-    readers : list
-        Objects with a ``cost``, the cheapest first.
-    count : int
-        Number of readers that are needed.
-    draw : float
-        Random number, at least 0 and less than 1.
-    """
-    places = min(len(readers), count + SPARE_READERS)
-    equals = sum(one.cost == readers[0].cost for one in readers[:places])
-    first = int(draw * equals)
-    return readers[first:equals] + readers[:first] + readers[equals:]
--- a/lycheetide/placement/_spread.py
+++ b/lycheetide/placement/_spread.py
@@ -11,17 +11,12 @@
 would be late, and the number with the lowest cost is used.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from lycheetide.placement._estimate import estimate_pass_s, estimate_prefill_s
 from lycheetide.placement._memory import needs_several_replicas, share_memory
 from lycheetide.placement._pack import RESERVED_SLOTS
-from lycheetide.placement._replica_memory import (
-    choose_memory_margins,
-    has_memory,
-    list_share_limits,
-    rotate_equals,
-)
+from lycheetide.placement._replica_memory import has_memory
 from lycheetide.placement._types import (
     LATENESS_LOSS,
     Arrivals,
@@ -70,10 +65,6 @@
         Time after which the caller disconnects without a first event, in seconds.
     margin_tokens : int
         Memory of each replica that is left free for unknown requests.
-    draw : float
-        Random number, at least 0 and less than 1.
-    share_limit : float
-        Largest fraction of a replica's free memory that one share may use.
     """
 
     size: RequestSize
@@ -82,8 +73,6 @@
     left_s: float
     patience_s: float
     margin_tokens: int = 0
-    draw: float = 0.0
-    share_limit: float = 1.0
 
     def worth(self, expected_s):
         """Return the value to the caller of a first event after ``expected_s``."""
@@ -165,7 +154,6 @@
     max_helpers=MAX_HELPERS,
     reserved=0,
     margin_tokens=0,
-    draw=0.0,
 ):
     """Return the placement of a long prompt, or None if there isn't enough memory.
 
@@ -194,8 +182,6 @@
         arrive there meanwhile, unless no other replica is left.
     margin_tokens : int, default=0
         Memory of each replica that is left free for unknown requests.
-    draw : float, default=0.0
-        Random number, at least 0 and less than 1; used if there is a margin.
 
     Returns
     -------
@@ -210,7 +196,6 @@
         target_s if left_s is None else left_s,
         patience_s,
         margin_tokens,
-        draw,
     )
     if reserved:
         candidates = _leave_reserved(candidates, prompt, arrivals, reserved)
@@ -221,16 +206,12 @@
     max_readers = min(max_helpers + 1, len(candidates))
     counts = [count for count in READER_COUNTS if count < max_readers] + [max_readers]
     replicas = [_assess_replica(engine, candidate) for candidate in candidates]
-    for share_limit in list_share_limits(margin_tokens):
-        limited = replace(prompt, share_limit=share_limit)
-        plans = (
-            _price_plan(engine, limited, replicas, arrivals, count) for count in counts
-        )
-        feasible = [plan for plan in plans if plan is not None]
-        if feasible:
-            _, placement = min(feasible, key=lambda plan: plan[0])
-            return placement
-    return None
+    plans = (_price_plan(engine, prompt, replicas, arrivals, count) for count in counts)
+    feasible = [plan for plan in plans if plan is not None]
+    if not feasible:
+        return None
+    _, placement = min(feasible, key=lambda plan: plan[0])
+    return placement
 
 
 def _assess_replica(engine, candidate):
@@ -256,7 +237,8 @@
     if prompt.size.weight >= arriving_weight:
         return candidates
     others = [candidate for candidate in candidates if candidate.rank >= reserved]
-    return others or candidates
+    # While many replicas are out of service, the others would take all long prompts.
+    return others if 2 * len(others) >= len(candidates) else candidates
 
 
 def _price_plan(engine, prompt, replicas, arrivals, count):
@@ -266,8 +248,6 @@
     """
     part_s = prompt.prefill_s / count
     readers = _price_readers(prompt, replicas, part_s)
-    if prompt.margin_tokens:
-        readers = rotate_equals(readers, count, prompt.draw)
     chosen = _choose_readers(engine, prompt, readers, count)
     if chosen is None:
         return None
@@ -358,9 +338,8 @@
             return chosen
     fitting = (
         reader
-        for margin_tokens in choose_memory_margins(prompt.size, prompt.margin_tokens)
         for reader in readers
-        if has_memory(engine, prompt.size, reader.candidate, margin_tokens)
+        if has_memory(engine, prompt.size, reader.candidate, prompt.margin_tokens)
     )
     first = next(fitting, None)
     if first is None:
@@ -385,7 +364,6 @@
         prompt.size.tokens,
         [reader.candidate for reader in eligible],
         margin_tokens=prompt.margin_tokens,
-        share_limit=prompt.share_limit,
     )
     if first is None:
         return None
