Limit outstanding requests of prompts only, and not of begun streams

A replica counted as no candidate from slots + 2 requests on, also for plain requests, which wait there for some ms, and for a stream that has begun, which would be cut without a placement.

--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -174,9 +174,12 @@
 
 def find_best_placement(relay, call, candidates, *, now_s):
     """Return the placement for a call by the load of the candidates, or None."""
-    open_candidates = find_open_replicas(relay, candidates)
     if not call.size.prompt_tokens:
-        return place_plain_call(relay, call, open_candidates, now_s=now_s)
+        return place_plain_call(relay, call, candidates, now_s=now_s)
+    open_candidates = find_open_replicas(relay, candidates)
+    if call.is_begun:
+        # Its caller has a part of the answer and can't be asked to retry.
+        open_candidates = open_candidates or candidates
     arrivals = estimate_arrivals(relay, call, candidates, now_s=now_s)
     engine = call.service.engine or DEFAULT_ENGINE
     # A replica refuses a prompt if one of its helpers is shutting down. Other nodes may
--- a/standins/large.py
+++ b/standins/large.py
@@ -74,6 +74,7 @@
         size=RequestSize(prompt_tokens, 1_500),
         request=SimpleNamespace(received_s=time.monotonic()),
         helpers_refused=False,
+        is_begun=False,
         sent=0,
         error_starts={},
         error_domains=set(),
