Log what tells a crash by a request from a lost connection

The logs of the incident couldn't tell whether the broken attempts that were just beginning share a part, whether an attempt had received an event itself, and whether the replica had died or the connection. The list of parts is decoded whole, not only its last entry; failed attempts name it and their own events; a path check says whether the replica accepts a new connection.

--- a/lycheetide/exchange/_types.py
+++ b/lycheetide/exchange/_types.py
@@ -34,6 +34,8 @@
     prompt_id : str
         Id of the prompt's own last part, the same in each attempt; empty if the caller
         gives none.
+    shared_parts : tuple of str
+        Ids of the parts before it, which other prompts may share, in their order.
     """
 
     attempt_id: str
@@ -48,6 +50,7 @@
     answer_tokens: int
     resume_after: bytes
     prompt_id: str = ""
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self):
--- a/lycheetide/platform/_requests.py
+++ b/lycheetide/platform/_requests.py
@@ -30,6 +30,9 @@
 _PROMPT_ID = re.compile(rb"[!-+\--~]{1,128}")
 """Visible ASCII characters without the comma, which separates entries."""
 _DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
+MAX_SHARED_PARTS = 512
+"""Entries of a prompt's list of prefixes that are read; a longer list is forwarded
+whole."""
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -153,6 +156,36 @@
     return last.decode("latin-1") if _PROMPT_ID.fullmatch(last) else ""
 
 
+def _parse_shared_parts(text):
+    """Return the ids of the parts that a prompt shares with others.
+
+    An entry is an id with a number of tokens after a colon. Ids are hexadecimal, so the
+    case of letters and leading zeros don't matter. Empty and malformed entries are
+    skipped.
+
+    Returns
+    -------
+    tuple of str
+        All but the last, each once, at most ``MAX_SHARED_PARTS``.
+
+    Examples
+    --------
+    >>> _parse_shared_parts(b"5C1e:800, 005c1e:80,91bd:410,e4402b7d:250")
+    ('5c1e', '91bd')
+    >>> _parse_shared_parts(b"e4402b7d:250")
+    ()
+    """
+    *entries, _ = text.split(b",", MAX_SHARED_PARTS)
+    ids = (entry.partition(b":")[0].strip(b" \t") for entry in entries)
+    return tuple(
+        dict.fromkeys(
+            (one.lower().lstrip(b"0") or b"0").decode("latin-1")
+            for one in ids
+            if _PROMPT_ID.fullmatch(one)
+        )
+    )
+
+
 def decode_request(*, method, target, headers, now_s):
     """Decode the head of a caller's request.
 
@@ -196,6 +229,7 @@
         answer_tokens=answer_tokens,
         resume_after=_find_header(headers, RESUME_HEADER),
         prompt_id=_parse_prompt_id(_find_header(headers, PROMPT_PREFIX)),
+        shared_parts=_parse_shared_parts(_find_header(headers, PROMPT_PREFIX)),
     )
 
 
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -10,6 +10,9 @@
 from lycheetide.relay._rests import record_rest
 from lycheetide.relay._state import read_clock
 
+MAX_PARTS_LOGGED = 8
+MAX_PART_NAME_CHARACTERS = 40
+
 
 def suspect(relay, replica, why):
     """Suspect a replica, so that this node and all others avoid it for a while."""
@@ -120,8 +123,22 @@
                 suspect(relay, known.entry.id, "another replica waited for it")
 
 
-def record_failed_attempt(relay, call, placement, failure):
-    """Record a failed attempt."""
+def record_failed_attempt(relay, call, placement, failure, *, events=0):
+    """Record a failed attempt.
+
+    Parameters
+    ----------
+    relay : RelayState
+        The state of this node.
+    call : Call
+        The request.
+    placement : Placement
+        The replicas that took part.
+    failure : AttemptFailed
+        How it failed.
+    events : int, default=0
+        Number of whole events of a stream that this attempt received.
+    """
     call.may_have_run = call.may_have_run or failure.may_have_run
     is_helped = bool(placement.helpers or placement.holders)
     via = call.paths.get(placement.first.id, "")
@@ -156,11 +173,19 @@
             "may_have_run": call.may_have_run,
             "sent": call.sent,
             "is_kept": failure.is_kept,
+            "events": events,
+            "parts": list_part_names(call.request),
             **make_health_fields(relay, placement.first.id, now_s=read_clock()),
         },
     )
 
 
+def list_part_names(request):
+    """Return the ids of the parts that a prompt shares, shortened for the log."""
+    shared = request.shared_parts[:MAX_PARTS_LOGGED]
+    return [part[:MAX_PART_NAME_CHARACTERS] for part in shared]
+
+
 def is_known_to_answer_peers(relay, replica, *, now_s):
     """Tell whether a peer has an answer of a replica newer than those of this node."""
     detector = relay.failure_detector
--- a/lycheetide/relay/_path_checks.py
+++ b/lycheetide/relay/_path_checks.py
@@ -44,11 +44,22 @@
             relay, known.entry.address, timeout_s=CONNECT_TIMEOUT_S, first_via=via
         )
     except ChannelConnectError as error:
+        log_check(relay, replica, via, is_connected=False, cause=str(error))
         return Fault.REPLICA if error.is_confirmed else Fault.UNKNOWN
     await channel.aclose()
+    log_check(relay, replica, via, is_connected=True, cause=channel.via)
     return Fault.REPLICA if channel.via == via else Fault.PATH
 
 
+def log_check(relay, replica, via, *, is_connected, cause):
+    """Log whether a replica that broke off or is silent accepts a new connection."""
+    relay.log.info(
+        "The path to a replica was checked.",
+        extra={"replica": replica, "via": via, "is_connected": is_connected,
+               "cause": cause},
+    )  # fmt: skip
+
+
 @dataclass
 class PathCheck:
     """A check of the path to a silent replica.
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -85,6 +85,8 @@
         Cancels the concurrent attempts.
     has_data : bool
         Whether the answer has started to arrive.
+    events : int
+        Number of whole events that arrived.
     """
 
     replica: str
@@ -92,6 +94,7 @@
     at_s: float
     cancel_others: Callable[[], None]
     has_data: bool = False
+    events: int = 0
 
 
 async def serve_stream(relay, call, reply):
@@ -151,6 +154,7 @@
     """
     # A hedged attempt doesn't wait for a placement, since the other attempt continues.
     wait_s = find_placement_wait_s(call) if hedged_attempts.is_single else 0.0
+    stream_attempt = None
     try:
         async with reserve_memory(relay, call, wait_s=wait_s) as memory:
             placement = memory.placement or await choose_placement(
@@ -178,7 +182,8 @@
                         more=more,
                     )
             except AttemptFailed as failure:
-                record_failed_attempt(relay, call, placement, failure)
+                events = stream_attempt.events if stream_attempt is not None else 0
+                record_failed_attempt(relay, call, placement, failure, events=events)
                 raise
     except MemoryUnavailable as error:
         raise make_refusal(call, Cause.NO_MEMORY, message=str(error)) from None
@@ -298,6 +303,7 @@
                 relay.node, stream_attempt.job_id, now_s=stream_attempt.at_s
             )
         for event in splitter.split(data):
+            stream_attempt.events += 1
             async with progress.write_lock:
                 await _forward_event(reply, progress, stream_attempt, event)
             # While the reading waited for the caller, the replica wasn't silent.
