Reproduce a prompt part that crashes replica after replica

The replica of the stand-ins can crash as it begins to write on a part, and start again under a new id. The listener of the stand-ins is closed before its task is cancelled: a connection that arrived meanwhile failed inside the event loop.

--- a/standins/http.py
+++ b/standins/http.py
@@ -76,10 +76,19 @@
     listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     async with anyio.create_task_group() as group:
-        group.start_soon(listener.serve, serve)
+        group.start_soon(_accept_until_closed, listener, serve)
         yield f"{LOOPBACK}:{port}"
+        # Cancelling it while a connection arrives would fail inside the event loop.
+        await listener.aclose()
         group.cancel_scope.cancel()
-    await listener.aclose()
+
+
+async def _accept_until_closed(listener, serve):
+    """Serve each connection of a listener until it is closed."""
+    try:
+        await listener.serve(serve)
+    except* anyio.ClosedResourceError:
+        pass
 
 
 class HttpServer:
--- a/standins/relay_deployment.py
+++ b/standins/relay_deployment.py
@@ -87,11 +87,13 @@
         The configuration; that of `make_config` by default.
     stop_notice_s, contracts, memory_mb
         The settings of these names of each relay.
+    crash_part : str
+        Shared part of prompts on which replicas crash; each starts again after a while.
     """
 
     def __init__(
         self, *, replicas=2, relays=1, config=None, stop_notice_s=0.0, contracts=(),
-        memory_mb=0.0,
+        memory_mb=0.0, crash_part="",
     ):  # fmt: skip
         self.stop_notice_s = stop_notice_s
         self.contracts = contracts
@@ -99,6 +101,8 @@
         self.store = Store()
         self.links = Links()
         self.replicas = [Replica(f"r-{index}") for index in range(replicas)]
+        for replica in self.replicas:
+            replica.crash_part = crash_part
         self.relays = []
         self.stop_events = []
         self.count = relays
@@ -112,11 +116,15 @@
         """Start all parts and wait until the relays have discovered the replicas."""
         self._stack.enter_context(self.links.installed())
         await self._stack.enter_async_context(self.store.server.run())
+        self.group = await self._stack.enter_async_context(anyio.create_task_group())
         for replica in self.replicas:
+            if replica.crash_part:
+                self.group.start_soon(replica.live, self.store)
+                await self.wait_for(lambda one=replica: one.address)
+                continue
             await self._stack.enter_async_context(replica.server.run())
             self.store.put("keyed.servers", replica.name, replica.entry())
         self.store.put("keyed.op", "config", self.config)
-        self.group = await self._stack.enter_async_context(anyio.create_task_group())
         for _ in range(self.count):
             await self.start_relay()
         self.http = await self._stack.enter_async_context(
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -7,12 +7,21 @@
 import json
 import time
 from dataclasses import replace
+from itertools import count
 
 import anyio
 
 from standins.http import RESPONSE_SENT, ConnectionReset, HttpServer, Response
 
 RESPONSE_SEAL = "3e1b.07"
+ENTRY_LEASE_S = 1.0
+"""How long the entry of a replica that has crashed stays in the registry."""
+
+
+def list_shared_parts(request):
+    """Return the ids of a prompt's parts, without the last one, which is its own."""
+    text = request.headers.get("lycheetide-prompt-prefix", "")
+    return [entry.partition(":")[0] for entry in text.split(",")][:-1]
 
 
 def make_event(number, attempt="", *, size=0):
@@ -92,6 +101,13 @@
     refused_helper : str
         Address of a replica; requests that use it as a helper are refused, and the
         refusal names it.
+    crash_part : str
+        Id of a shared part of prompts. Within ``live``, the process crashes as it
+        begins to write an answer to a prompt with this part; empty for none.
+    down_s : float
+        How long it takes until the next process starts after a crash.
+    crash_times : list of float
+        When it crashed.
     """
 
     def __init__(self, name, *, events=4, pause_s=0.01):
@@ -118,6 +134,10 @@
         self.is_leaving = False
         self.adds_attempt_ids = False
         self.resets_reused_connections = False
+        self.crash_part = ""
+        self.down_s = 1.5
+        self.crash_times = []
+        self._crash = None
         self._used_connections = set()
         self.server = HttpServer(self.answer, passes_stream=True)
 
@@ -134,6 +154,37 @@
             "seq": 1, "born": 1_700_000_000_000,
         } | changes  # fmt: skip
 
+    async def live(self, store):
+        """Serve, and after each crash start again under a new id at a new address.
+
+        Parameters
+        ----------
+        store : Store
+            Where it registers.
+        """
+        base = self.name
+        for life in count():
+            self._crash = anyio.Event()
+            async with self.server.run():
+                self.name = f"{base}-{life}"
+                born_ms = 1_700_000_000_000 + 1_000 * life
+                store.put("keyed.servers", self.name, self.entry(born=born_ms))
+                await self._crash.wait()
+            self.crash_times.append(time.monotonic())
+            await anyio.sleep(min(ENTRY_LEASE_S, self.down_s))
+            store.remove("keyed.servers", self.name)
+            await anyio.sleep(max(0.0, self.down_s - ENTRY_LEASE_S))
+
+    def crash(self):
+        """End the process within ``live``: all its connections are closed."""
+        self._crash.set()
+
+    async def _crash_if_due(self, request):
+        """Crash if a prompt has the part that this process can't write on."""
+        if self.crash_part and self.crash_part in list_shared_parts(request):
+            self.crash()
+            await anyio.sleep_forever()
+
     async def answer(self, request, stream):
         """Handle one request."""
         response = await self._respond(request, stream)
@@ -240,6 +291,7 @@
                 group.start_soon(self._watch_for_close, stream)
                 await self.wait_before_writing()
                 await stream.send(text.encode())
+                await self._crash_if_due(request)
                 for number in range(start + 1, self.count_events(request) + 1):
                     if step == "break" and number == start + 3:
                         await stream.send(b"20\r\nid: 3\nda")
