Keep prompts with a part that crashes replicas from the replicas

Cause: a failed attempt says that its replica failed, never that its request made it fail. So a request that crashes replicas is repeated at the next one, and its caller repeats it at another node. Class: a fault of the input taken for a fault of the server, and carried on by retries.

Change: the nodes report to each other which prompts were beginning when a replica crashed, once the crash is confirmed (connection refused, or a successor). A part that takes part in three separate crashes of two different prompts, and on which no replica has written since, is refused by all nodes at once (503, not run), and requests with it that are still being read are cancelled. Nodes that know better object. The verdict is merged without order, compared in heartbeats, fetched by nodes that start, and written to the store by one node.

Why it works: a part at fault never receives an event, every sound part does.

Tests of relay, gossip, platform, quarantine, httpclient, paths pass.

--- a/lycheetide/gossip/_messages.py
+++ b/lycheetide/gossip/_messages.py
@@ -193,6 +193,75 @@
     keeps_ms: int
 
 
+class BegunPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt whose answer was beginning at a replica.
+
+    Parameters
+    ----------
+    prompt : int
+        64-bit hash of its own last part.
+    parts : tuple of bytes
+        Hashes of its parts, or of some of them where they don't fit one message.
+    """
+
+    prompt: int
+    parts: tuple[bytes, ...]
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="k"):
+    """A replica has crashed while the answers to some prompts were beginning.
+
+    Parameters
+    ----------
+    node : str
+        Node that sent it these prompts.
+    replica : str
+        Id of the replica.
+    born_ms : int
+        Start of its process in Unix milliseconds; 0 if unknown.
+    age_ms : int
+        Time since the crash.
+    prompts : tuple of BegunPrompt
+        The prompts.
+    """
+
+    node: str
+    replica: str
+    born_ms: int
+    age_ms: int
+    prompts: tuple[BegunPrompt, ...]
+
+
+class PartsWritten(msgspec.Struct, frozen=True, array_like=True, tag="p"):
+    """Replicas have written on some of the parts that a crash report names.
+
+    Parameters
+    ----------
+    node : str
+        Node that received their answers.
+    parts : tuple of (bytes, int)
+        Hash of each part, with the time since the last such answer in milliseconds.
+    """
+
+    node: str
+    parts: tuple[tuple[bytes, int], ...]
+
+
+class Quarantined(msgspec.Struct, frozen=True, array_like=True, tag="z"):
+    """Prompts with some parts are kept from replicas, or no longer.
+
+    Parameters
+    ----------
+    node : str
+        Node that sends the message.
+    entries : tuple of (tuple of bytes, int, bool, int)
+        Fields of each entry, as of ``QuarantineEntry``.
+    """
+
+    node: str
+    entries: tuple[tuple[tuple[bytes, ...], int, bool, int], ...]
+
+
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
     """What a replica last said of the requests that it takes.
 
@@ -276,6 +345,8 @@
     memory_stage : int
         How near the node is to the limit of its memory, a ``MemoryStage``; 0 for not
         near.
+    quarantine_digest : int
+        Digest of the quarantines it knows; below 0 if it hasn't loaded them.
 
     Notes
     -----
@@ -306,6 +377,7 @@
     tunnels: int = 0
     is_cut_off: bool = False
     memory_stage: int = 0
+    quarantine_digest: int = -1
 
 
 class RegistryUpdate(msgspec.Struct, frozen=True, array_like=True, tag="c"):
@@ -328,7 +400,16 @@
 
 
 BundledMessage = (
-    Started | Ended | Suspected | Doubted | MemoryWanted | Waiting | Deferred
+    Started
+    | Ended
+    | Suspected
+    | Doubted
+    | MemoryWanted
+    | Waiting
+    | Deferred
+    | CrashReport
+    | PartsWritten
+    | Quarantined
 )
 
 
--- a/lycheetide/httpclient/_channel.py
+++ b/lycheetide/httpclient/_channel.py
@@ -40,11 +40,14 @@
         What happened.
     is_confirmed : bool, default=False
         Whether another node that reaches other servers doesn't reach this one.
+    is_refused : bool, default=False
+        Whether the server's host has answered that nothing listens at the port.
     """
 
-    def __init__(self, message, *, is_confirmed=False):
+    def __init__(self, message, *, is_confirmed=False, is_refused=False):
         super().__init__(message)
         self.is_confirmed = is_confirmed
+        self.is_refused = is_refused
 
 
 class ChannelError(Exception):
@@ -147,7 +150,10 @@
             with anyio.fail_after(timeout_s):
                 stream = await anyio.connect_tcp(host, int(port))
         except (OSError, ValueError) as error:
-            raise ChannelConnectError(f"{address}: {error!r}") from error
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            raise ChannelConnectError(
+                f"{address}: {error!r}", is_refused=is_refused
+            ) from error
         set_socket_options(stream)
         return cls(stream, address)
 
--- a/lycheetide/platform/__init__.py
+++ b/lycheetide/platform/__init__.py
@@ -20,6 +20,7 @@
 from lycheetide.platform._store import (
     NODES_TOPIC,
     OPERATOR_TOPIC,
+    QUARANTINE_TOPIC,
     REGISTRY_TOPIC,
     StoreClient,
 )
@@ -27,6 +28,7 @@
 __all__ = [
     "NODES_TOPIC",
     "OPERATOR_TOPIC",
+    "QUARANTINE_TOPIC",
     "READY_PATH",
     "REGISTRY_TOPIC",
     "StoreClient",
--- a/lycheetide/platform/_store.py
+++ b/lycheetide/platform/_store.py
@@ -27,6 +27,9 @@
 NODES_TOPIC = "keyed.lycheetide-nodes"
 """Topic to which the nodes of this system write their addresses."""
 
+QUARANTINE_TOPIC = "keyed.lycheetide-quarantine"
+"""Topic to which the nodes write which prompts are kept from replicas."""
+
 MAX_READ_KB = 1_024
 
 
--- /dev/null
+++ b/lycheetide/quarantine/_state.py
@@ -0,0 +1,91 @@
+"""The state of one node about prompts that crash replicas."""
+
+from typing import Any
+
+from lycheetide.gossip import Life
+from lycheetide.quarantine._evidence import CrashEvidence
+from lycheetide.quarantine._table import QuarantineTable
+
+CRASH_RETENTION_S = 60.0
+"""How long a confirmed crash is remembered for further requests that it broke off."""
+MAX_LOAD_FAILURES = 3
+"""Failed reads after which a node serves without the quarantines of the store."""
+
+
+class QuarantineState:
+    """What a node knows of prompts that crash replicas.
+
+    Attributes
+    ----------
+    evidence : CrashEvidence
+        Crashes, and parts that replicas have written on.
+    table : QuarantineTable
+        The parts that are kept from replicas.
+    running : dict of int to tuple
+        The calls with a prompt that this node serves at present, each with the scope
+        that cancels it.
+    is_loaded : bool
+        Whether the quarantines from before this node's start are known.
+    failures : int
+        Number of failed attempts to load them.
+    checks : dict of Life to list
+        Starts of replicas that may have crashed, with the prompts that they broke off:
+        the hash of each and its parts.
+    crashed_s : dict of Life to float
+        When starts of replicas crashed.
+    announced_s : dict of bytes to float
+        Latest time at which a part was written on that all nodes have been told.
+    stored : dict of str to tuple
+        Version of each entry in the store, by its name.
+    missing_since_s : float or None
+        Since when the store lacks an entry.
+    polled_s, fetched_s : float
+        When the store and a peer were last asked for entries.
+    """
+
+    def __init__(self):
+        self.evidence = CrashEvidence()
+        self.table = QuarantineTable()
+        self.running: dict[int, tuple[Any, Any]] = {}
+        self.is_loaded = True
+        self.failures = 0
+        self.checks: dict[Life, list[tuple[int, tuple[bytes, ...]]]] = {}
+        self.crashed_s: dict[Life, float] = {}
+        self.announced_s: dict[bytes, float] = {}
+        self.stored: dict[str, tuple[int, bool]] = {}
+        self.missing_since_s: float | None = None
+        self.polled_s = float("-inf")
+        self.fetched_s = float("-inf")
+
+    def report_digest(self):
+        """Return the digest for heartbeats; below 0 before the table is loaded."""
+        return self.table.digest() if self.is_loaded else -1
+
+    def is_settled(self):
+        """Tell whether the node needn't wait for the quarantines any longer."""
+        return self.is_loaded or self.failures >= MAX_LOAD_FAILURES
+
+    def list_missing(self):
+        """Return the entries that the store doesn't have, as far as this node knows."""
+        return [
+            entry
+            for entry in self.table.list_entries()
+            if entry.order_key > self.stored.get(entry.name, (0, False))
+        ]
+
+    def list_forgotten(self):
+        """Return the names of entries of the store that are no longer needed."""
+        names = {entry.name for entry in self.table.list_entries()}
+        return [name for name in self.stored if name not in names]
+
+    def drop_outdated(self, *, now_s):
+        """Forget crashes that are long past, and news that all nodes have."""
+        drop_older(self.crashed_s, now_s - CRASH_RETENTION_S)
+        drop_older(self.announced_s, now_s - CRASH_RETENTION_S)
+        self.evidence.drop_outdated(now_s=now_s)
+
+
+def drop_older(times_s, limit_s):
+    """Remove the keys whose time lies before a limit."""
+    for key in [one for one, at_s in times_s.items() if at_s < limit_s]:
+        del times_s[key]
--- /dev/null
+++ b/lycheetide/quarantine/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this package."""
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -14,6 +14,7 @@
 from lycheetide.relay._evidence import record_response, record_unreached
 from lycheetide.relay._named_limits import may_still_send
 from lycheetide.relay._outcomes import AttemptFailed, Cause
+from lycheetide.relay._quarantine import find_quarantine
 from lycheetide.relay._retries import spend_retry
 from lycheetide.relay._state import read_clock
 
@@ -213,7 +214,7 @@
             channel = await connect(relay, call, first, is_fresh=is_fresh)
         finally:
             relay.record_placement_ended(first.id)
-        held_for = find_hold_cause(relay, first.id, now_s=read_clock())
+        held_for = find_hold_cause(relay, call, first.id, now_s=read_clock())
         if held_for is not None:
             # An unused connection in the pool would count as a new one.
             if channel.request_count > 0:
@@ -253,7 +254,7 @@
         )
 
 
-def find_hold_cause(relay, replica, *, now_s):
+def find_hold_cause(relay, call, replica, *, now_s):
     """Return why a request may no longer be sent to the replica it was placed at.
 
     Returns
@@ -261,6 +262,8 @@
     Cause or None
         None if it may be sent.
     """
+    if find_quarantine(relay, call) is not None:
+        return Cause.QUARANTINED
     if replica in relay.list_leaving():
         return Cause.LEAVING
     if replica in relay.list_withheld(now_s=now_s):
--- a/lycheetide/relay/_buffered.py
+++ b/lycheetide/relay/_buffered.py
@@ -11,6 +11,7 @@
 )
 from lycheetide.relay._evidence import record_failed_attempt
 from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal
+from lycheetide.relay._quarantine import note_written
 from lycheetide.relay._retries import claim_retry
 from lycheetide.relay._selection import (
     choose_placement,
@@ -154,5 +155,6 @@
         except ChannelError as broken:
             raise make_failure(broken, attempt.channel) from broken
         if attempt.answer.status < MIN_SERVER_ERROR_STATUS:
+            note_written(relay, call)
             record_answer(relay, call, placement, sent_s=sent_s, now_s=read_clock())
         return attempt.answer, body
--- a/lycheetide/relay/_call.py
+++ b/lycheetide/relay/_call.py
@@ -66,6 +66,12 @@
     queue_place : tuple of (int, float) or None
         Its number in the queue for capacity and the target time of its first event,
         kept for all its attempts; None if it hasn't waited.
+    parts : tuple of bytes
+        Hashes of the parts of its prompt, its own one last; empty for no prompt.
+    is_written : bool
+        Whether a replica has begun to write an answer to it.
+    is_quarantined : bool
+        Whether it was cancelled because its prompt crashes replicas.
     """
 
     request: CallerRequest
@@ -87,6 +93,14 @@
     error_domains: set[str] = field(default_factory=set)
     paths: dict[str, str] = field(default_factory=dict)
     queue_place: tuple[int, float] | None = None
+    parts: tuple[bytes, ...] = ()
+    is_written: bool = False
+    is_quarantined: bool = False
+
+    @property
+    def prompt_hash(self):
+        """64-bit hash of the prompt's own part; 0 for no prompt."""
+        return int.from_bytes(self.parts[-1][:8], "big") if self.parts else 0
 
     def list_homes(self):
         """Return lists of regions; a replica must be in each that isn't empty."""
--- a/lycheetide/relay/_datagrams.py
+++ b/lycheetide/relay/_datagrams.py
@@ -14,6 +14,9 @@
     b"r": "work",
     b"x": "suspicions",
     b"d": "suspicions",
+    b"k": "suspicions",
+    b"p": "suspicions",
+    b"z": "suspicions",
     b"c": "changes",
     b"h": "greetings",
 }
--- a/lycheetide/relay/_dial.py
+++ b/lycheetide/relay/_dial.py
@@ -52,7 +52,8 @@
     ------
     ChannelConnectError
         If no path works. It is confirmed if a peer with a path to other replicas
-        doesn't reach this one either, or if there is no peer to ask.
+        doesn't reach this one either, or if there is no peer to ask. It is refused if
+        the direct path works as far as the replica's host.
     """
     domain = find_domain(relay, address)
     if first_via is None:
@@ -76,8 +77,11 @@
     is_confirmed = not has_asked or any(
         error.is_confirmed for error in outcome.errors.values()
     )
+    direct = outcome.errors.get("")
     raise ChannelConnectError(
-        describe_failure(address, outcome), is_confirmed=is_confirmed
+        describe_failure(address, outcome),
+        is_confirmed=is_confirmed,
+        is_refused=direct is not None and direct.is_refused,
     )
 
 
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -7,6 +7,7 @@
 from lycheetide.relay._named_limits import record_named_limit
 from lycheetide.relay._outcomes import Cause
 from lycheetide.relay._path_checks import has_lost_path, start_path_check
+from lycheetide.relay._quarantine import note_broken
 from lycheetide.relay._rests import record_rest
 from lycheetide.relay._state import read_clock
 
@@ -149,6 +150,7 @@
         call.record_refusal(placement.first.id, now_s=read_clock())
     if failure.cause in {Cause.LIMITED, Cause.RESTING, Cause.LEAVING}:
         call.tried.discard(placement.first.id)
+    note_broken(relay, call, placement.first.id, via, failure, events=events)
     if failure.cause is Cause.BROKEN:
         doubt(relay, placement.first.id, via)
     if failure.cause is Cause.SILENT:
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -9,11 +9,14 @@
 from lycheetide.gossip import (
     MAX_DATAGRAM_BYTES,
     Bundle,
+    CrashReport,
     Deferred,
     Doubted,
     Ended,
     Heartbeat,
     MemoryWanted,
+    PartsWritten,
+    Quarantined,
     RegistryUpdate,
     Started,
     Suspected,
@@ -35,6 +38,10 @@
 from lycheetide.relay._memory import update_memory
 from lycheetide.relay._named_limits import merge_limits
 from lycheetide.relay._peer_state import fetch_registry
+from lycheetide.relay._quarantine import (
+    compare_quarantines,
+    receive_quarantine_message,
+)
 from lycheetide.relay._rests import record_peer_doubt
 from lycheetide.relay._roles import (
     compare_digests,
@@ -298,6 +305,7 @@
             tunnels=relay.tunnels.count,
             is_cut_off=relay.paths.is_cut_off(now_s=now_s),
             memory_stage=int(update_memory(relay, now_s=now_s)),
+            quarantine_digest=relay.quarantine.report_digest(),
         )
         return msgspec.structs.replace(
             heartbeat, limits=self._sample_limits(heartbeat, now_s=now_s)
@@ -353,10 +361,10 @@
             case MemoryWanted(node, job, number, tokens):
                 waiting = WaitingRequest(number, node, job, tokens)
                 self.relay.memory_queue.note(waiting, now_s=now_s)
-            case Suspected(_, replica):
-                self.relay.failure_detector.suspect(replica, now_s=now_s)
-            case Doubted():
-                record_peer_doubt(self.relay, message, now_s=now_s)
+            case Suspected() | Doubted():
+                record_peer_failure(self.relay, message, now_s=now_s)
+            case CrashReport() | PartsWritten() | Quarantined():
+                receive_quarantine_message(self.relay, message, now_s=now_s)
             case Bundle(_, messages, must_forward):
                 for one in messages:
                     self.handle_message(one, now_s=now_s)
@@ -405,6 +413,7 @@
         for address in heartbeat.peers:
             relay.peers.add_address(address, now_s=now_s)
         record_outage_end(relay, heartbeat.returned_age_s, now_s=now_s)
+        compare_quarantines(relay, heartbeat, now_s=now_s)
         if compare_digests(relay, heartbeat, now_s=now_s):
             relay.digest_differs_since_s = now_s
             relay.tasks.start_soon(fetch_registry, relay, heartbeat.address)
@@ -490,6 +499,14 @@
             self._new_peer_count = 0
 
 
+def record_peer_failure(relay, message, *, now_s):
+    """Record that a replica has failed to answer another node."""
+    if isinstance(message, Suspected):
+        relay.failure_detector.suspect(message.replica, now_s=now_s)
+    else:
+        record_peer_doubt(relay, message, now_s=now_s)
+
+
 async def discover(relay):
     """Register this node's address in the store, and read the others' addresses."""
     store = relay.make_store_client("nodes")
--- a/lycheetide/relay/_outcomes.py
+++ b/lycheetide/relay/_outcomes.py
@@ -18,6 +18,7 @@
     LIMITED = "limited"
     RESTING = "resting"
     LEAVING = "leaving"
+    QUARANTINED = "quarantined"
     REFUSED = "refused"
     OTHER_REPLICA = "other_replica"
     CONNECT_FAILED = "connect_failed"
--- a/lycheetide/relay/_peer_state.py
+++ b/lycheetide/relay/_peer_state.py
@@ -6,6 +6,7 @@
 from lycheetide.exchange import RecordBatch
 from lycheetide.httpclient import ChannelConnectError, ChannelError, OutgoingRequest
 from lycheetide.relay._apply_records import apply_batch
+from lycheetide.relay._quarantine import QUARANTINE_TARGET, encode_quarantines
 from lycheetide.relay._state import read_clock
 
 PEER_POLL_S = 0.01
@@ -121,6 +122,8 @@
         names = {path.decode(): name for name, path in TOPIC_TARGETS.items()}
         name = names.get(scope["path"])
         status, body = 404, b""
+        if scope["path"] == QUARANTINE_TARGET.decode():
+            status, body = encode_quarantines(relay)
         if name is not None:
             source = getattr(relay, name)
             batch = RecordBatch(tuple(source.records.values()), source.offset, True)
--- a/lycheetide/relay/_retries.py
+++ b/lycheetide/relay/_retries.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum
 
+from lycheetide.relay._quarantine import find_quarantine
 from lycheetide.relay._selection import has_placement
 from lycheetide.relay._state import read_clock
 
@@ -10,6 +11,7 @@
     """Why a call may not be sent to another replica; each reason has a counter."""
 
     NOT_REPEATABLE = "not_repeatable"
+    QUARANTINED = "quarantined"
     NO_TIME = "no_time"
     NO_ATTEMPTS = "no_attempts"
     NO_BUDGET = "no_budget"
@@ -32,6 +34,8 @@
         Shortest remaining time in which another attempt is worth starting.
     """
     denial = find_request_denial(call, min_attempt_s=min_attempt_s, now_s=read_clock())
+    if denial is None and find_quarantine(relay, call) is not None:
+        denial = RetryDenial.QUARANTINED
     if denial is None and not ensure_retry(relay, call):
         denial = RetryDenial.NO_BUDGET
     if denial is None:
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -17,6 +17,7 @@
 from lycheetide.relay._messaging import PeerMessenger, discover
 from lycheetide.relay._paces import follow_paces
 from lycheetide.relay._peer_state import make_peer_app
+from lycheetide.relay._quarantine import follow_quarantines
 from lycheetide.relay._refusals import watch_refusals
 from lycheetide.relay._reload import reload_settings, watch_settings
 from lycheetide.relay._state import RelayState, read_clock
@@ -93,6 +94,7 @@
     process_age_s = read_process_age_s()
     node = f"{settings.name}.{time.time_ns() % 10**9:x}.{os.getpid():x}"
     relay = RelayState(settings, adapter, node, settings_path=settings_path)
+    relay.quarantine.is_loaded = False
     relay.pool.connect = partial(connect_replica, relay)
     relay.pool.may_reuse = partial(may_reuse, relay)
     listener = make_listener(settings.peer_address)
@@ -109,6 +111,7 @@
             follow_operator,
             follow_registry,
             follow_paces,
+            follow_quarantines,
             messenger.listen,
             messenger.greet,
             messenger.broadcaster.pass_on,
--- a/lycheetide/relay/_serve.py
+++ b/lycheetide/relay/_serve.py
@@ -3,9 +3,15 @@
 import anyio
 
 from lycheetide.placement import RequestSize
+from lycheetide.quarantine import hash_parts
 from lycheetide.relay._buffered import serve_buffered
 from lycheetide.relay._call import Call
 from lycheetide.relay._outcomes import Cause, Refusal, StreamAborted
+from lycheetide.relay._quarantine import (
+    cancelled_by_quarantine,
+    check_quarantine,
+    make_quarantine_refusal,
+)
 from lycheetide.relay._selection import (
     DEFAULT_RETRY_DELAY_S,
     make_refusal,
@@ -68,9 +74,18 @@
         customer=customer,
         size=RequestSize(request.prompt_tokens, request.answer_tokens),
         deadline_s=request.received_s + remaining_s - ANSWER_MARGIN_S,
+        parts=make_call_parts(service, request),
     )
 
 
+def make_call_parts(service, request):
+    """Return the hashes of a prompt's parts, its own one last; empty for no prompt."""
+    if not request.prompt_id and not request.shared_parts:
+        return ()
+    own = request.prompt_id or request.attempt_id
+    return hash_parts(service.name, (*request.shared_parts, own))
+
+
 async def serve_call(relay, call, reply):
     """Send the caller its answer, or refuse the call at its deadline.
 
@@ -89,14 +104,23 @@
         target_ms=round(call.route.target_latency_s * 1e3),
         gap_ms=round(call.route.target_gap_s * 1e3),
     )
+    check_quarantine(relay, call, now_s=now_s)
     serve = serve_stream if call.route.kind is RouteKind.STREAM else serve_buffered
-    with anyio.move_on_after(max(0.0, call.remaining_s(now_s=now_s))) as scope:
+    with (
+        anyio.move_on_after(max(0.0, call.remaining_s(now_s=now_s))) as scope,
+        cancelled_by_quarantine(relay, call, scope),
+    ):
         if relay.activation.is_contended:
             await serve_buffered_reply(relay, call, reply, serve)
         else:
             await serve(relay, call, reply)
     if not scope.cancelled_caught:
         return
+    if call.is_quarantined:
+        refusal = make_quarantine_refusal(relay, call)
+        if reply.is_started:
+            raise StreamAborted("the prompt is in quarantine")
+        raise refusal
     if reply.is_started:
         raise StreamAborted("the deadline passed before the response was complete")
     refusal = make_refusal(call, Cause.DEADLINE)
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -40,6 +40,7 @@
     find_round_trips,
     rank_replicas,
 )
+from lycheetide.quarantine import QuarantineState
 from lycheetide.relay._admission import AdmissionState
 from lycheetide.relay._memory import NodeMemory, update_memory
 from lycheetide.relay._usage import UsageCounter
@@ -138,7 +139,7 @@
         self.leaving: dict[Life, float] = {}
         self.reported_paces: tuple[tuple[str, float], ...] = ()
         self.peers = PeerTable(settings.peer_address, fleet=settings.store_address)
-        self.paths = PathTable()
+        self.paths, self.quarantine = PathTable(), QuarantineState()
         self.path_checks: dict[str, float] = {}
         self.tunnels = TunnelService()
         self.pool, self.peer_pool = ChannelPool(), ChannelPool()
@@ -221,6 +222,7 @@
         """
         sources = (self.operator, self.registry)
         is_known = all(source.offset >= 0 for source in sources)
+        is_known = is_known and self.quarantine.is_settled()
         return not is_known and not any(source.failures for source in sources)
 
     def is_behind_peers(self, *, now_s):
@@ -356,6 +358,8 @@
             return False
         if update_memory(self, now_s=now_s) is not MemoryStage.NORMAL:
             return False
+        if not self.quarantine.is_settled():
+            return False
         last_heard_s = max(
             [
                 self.operator.complete_until_s,
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -16,6 +16,7 @@
 from lycheetide.relay._evidence import record_failed_attempt
 from lycheetide.relay._hedging import HedgedAttempts
 from lycheetide.relay._outcomes import AttemptFailed, Cause, StreamAborted
+from lycheetide.relay._quarantine import note_written
 from lycheetide.relay._reservations import MemoryUnavailable, reserve_memory
 from lycheetide.relay._retries import claim_retry
 from lycheetide.relay._selection import (
@@ -304,6 +305,7 @@
             )
         for event in splitter.split(data):
             stream_attempt.events += 1
+            note_written(relay, call)
             async with progress.write_lock:
                 await _forward_event(reply, progress, stream_attempt, event)
             # While the reading waited for the caller, the replica wasn't silent.
--- a/lycheetide/relay/tests/test_quarantine.py
+++ b/lycheetide/relay/tests/test_quarantine.py
@@ -23,6 +23,7 @@
 OTHER_PARTS = [f"{number:08x}" for number in range(0xA0, 0xA8)]
 BAD_PER_S = 6.0
 SOUND_PER_S = 16.0
+LOAD_S = 9.5
 
 
 @pytest.fixture
@@ -76,7 +77,7 @@
         prefix = self.make_prefix(SYSTEM_PART, self.draws.choice(OTHER_PARTS))
         self.first_tries.append((sent_s, await self.send(prefix)))
 
-    async def run(self, send, *, per_s, seconds):
+    async def run(self, send, per_s, seconds):
         """Send prompts at a rate, one after the other and without waiting."""
         until_s = time.monotonic() + seconds
         async with anyio.create_task_group() as group:
@@ -118,16 +119,11 @@
         await wait_for_peers(fleet)
         load = Load(fleet)
         begun_s = time.monotonic()
-        await load.run(load.send_sound, per_s=SOUND_PER_S, seconds=2.0)
+        await load.run(load.send_sound, SOUND_PER_S, 2.0)
         bad_s = time.monotonic()
         async with anyio.create_task_group() as group:
-            for send, per_s in (
-                (load.send_sound, SOUND_PER_S),
-                (load.send_bad, BAD_PER_S),
-            ):
-                options = {"per_s": per_s, "seconds": 9.5}
-                group.start_soon(lambda send=send, options=options: load.run(
-                    send, **options))  # fmt: skip
+            group.start_soon(load.run, load.send_sound, SOUND_PER_S, LOAD_S)
+            group.start_soon(load.run, load.send_bad, BAD_PER_S, LOAD_S)
         ended_s = time.monotonic()
         crashes = list_crashes(fleet)
         last_counted_s = crashes[min(CRASHES, len(crashes)) - 1]
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -137,7 +137,7 @@
         self.crash_part = ""
         self.down_s = 1.5
         self.crash_times = []
-        self._crash = None
+        self._crash = anyio.Event()
         self._used_connections = set()
         self.server = HttpServer(self.answer, passes_stream=True)
 
