Test the quarantine of prompt parts across nodes, and let operators lift one

An operator lifts a quarantine by a record in the store, which the node that reads the registry polls while there is any.

--- a/lycheetide/relay/_quarantine.py
+++ b/lycheetide/relay/_quarantine.py
@@ -16,6 +16,11 @@
 )
 from lycheetide.relay._dial import CONNECT_TIMEOUT_S, connect_replica
 from lycheetide.relay._outcomes import Cause, Refusal
+from lycheetide.relay._quarantine_store import (
+    delete_quarantine,
+    read_quarantines,
+    write_quarantine,
+)
 from lycheetide.relay._roles import is_hub, is_registry_reader
 from lycheetide.relay._state import make_life, read_clock
 
@@ -37,7 +42,6 @@
 """An objection isn't repeated if the last one is at most this much older."""
 MAX_PARTS_PER_MESSAGE = 48
 LOOK_INTERVAL_S = 0.1
-STORE_TIMEOUT_S = 1.0
 STORE_RETRY_S = 1.0
 STORE_POLL_S = 5.0
 """Interval at which the store is read for quarantines that an operator has lifted, by
@@ -434,25 +438,16 @@
 async def read_stored(relay, store):
     """Read the quarantines from the store; return whether it answered."""
     try:
-        batch = await store.read(
-            relay.adapter.QUARANTINE_TOPIC, -1, wait_s=0.0, timeout_s=STORE_TIMEOUT_S
-        )
+        entries, broken = await read_quarantines(store, relay.adapter.QUARANTINE_TOPIC)
     except StoreUnavailable as error:
         relay.log.info(
             "Reading quarantines from the store failed.", extra={"cause": str(error)}
         )
         return False
-    for record in batch.records:
-        if record.value is None:
-            continue
-        try:
-            entries = decode_entries(record.value)
-        except msgspec.MsgspecError:
-            relay.counters.add("quarantine.broken_record")
-            continue
-        for entry in entries:
-            relay.quarantine.stored[entry.name] = entry.order_key
-        receive_entries(relay, entries, why="the store has it", now_s=read_clock())
+    relay.counters.add("quarantine.broken_record", len(broken))
+    for entry in entries:
+        relay.quarantine.stored[entry.name] = entry.order_key
+    receive_entries(relay, entries, why="the store has it", now_s=read_clock())
     return True
 
 
@@ -490,21 +485,16 @@
     is_writer = is_registry_reader(relay, now_s=now_s)
     if not is_writer and not (is_late and is_hub(relay, now_s=now_s)):
         return
+    topic = relay.adapter.QUARANTINE_TOPIC
     try:
         for entry in missing:
-            await append(relay, store, entry.name, encode_entries([entry]))
+            await write_quarantine(store, topic, entry)
             state.stored[entry.name] = entry.order_key
         for name in forgotten:
-            await append(relay, store, name, b"")
+            await delete_quarantine(store, topic, name)
             del state.stored[name]
     except StoreUnavailable as error:
         relay.log.info(
             "Writing a quarantine failed; retrying.", extra={"cause": str(error)}
         )
         await anyio.sleep(relay.random.uniform(0.5, 1.5) * STORE_RETRY_S)
-
-
-async def append(relay, store, name, value):
-    """Write one record of the topic of quarantines."""
-    topic = relay.adapter.QUARANTINE_TOPIC
-    await store.append(topic, name, value, timeout_s=STORE_TIMEOUT_S)
--- a/lycheetide/relay/tests/test_quarantine.py
+++ b/lycheetide/relay/tests/test_quarantine.py
@@ -8,6 +8,15 @@
 import httpx
 import pytest
 
+from lycheetide import platform
+from lycheetide.gossip import Life
+from lycheetide.quarantine import hash_parts
+from lycheetide.relay._quarantine import (
+    announce_entries,
+    record_entries,
+    report_crash,
+)
+from lycheetide.relay._quarantine_store import lift_quarantine, read_quarantines
 from lycheetide.relay.tests.test_cold_limits import wait_for_peers
 from standins.relay_deployment import RelayDeployment, make_config
 from standins.replica import list_shared_parts
@@ -137,3 +146,264 @@
     before = load.served_share(begun_s, bad_s)
     after = load.served_share(last_counted_s + 2 * CONTACT_S, ended_s)
     assert after >= 0.5 * before
+
+
+def find_parts(*parts):
+    """Return the hashes of some parts."""
+    return hash_parts("models", parts)
+
+
+def impose(relay, *parts):
+    """Put parts into quarantine as if this node had found them at fault."""
+    now_s = time.monotonic()
+    entry = relay.quarantine.table.impose(find_parts(*parts), crashes=3, now_s=now_s)
+    record_entries(relay, [entry], why="test")
+    announce_entries(relay, [entry])
+
+
+def is_known(relay, part=BAD_PART):
+    """Tell whether a node keeps prompts with a part from replicas."""
+    return relay.quarantine.table.find(find_parts(part)) is not None
+
+
+def make_prefix(*parts):
+    """Return the header that names the parts of a prompt, its own one last."""
+    return {"lycheetide-prompt-prefix": ",".join(f"{one}:40" for one in parts)}
+
+
+def count_stored(fleet):
+    """Return the number of quarantines in the store."""
+    return len(fleet.store.topic(platform.QUARANTINE_TOPIC).newest())
+
+
+async def test_a_quarantined_prompt_is_refused_at_once_as_not_run():
+    """Guards against prompts that wait, take memory or use up retries in vain."""
+    async with RelayDeployment() as fleet:
+        (relay,) = fleet.relays
+        impose(relay, BAD_PART)
+        prefix = make_prefix("aa", BAD_PART.upper(), "0b")
+        response, looks = await fleet.count_looks(lambda: fleet.stream(**prefix))
+        others = [
+            await fleet.stream(**make_prefix("aa", "0b")),
+            await fleet.stream(**make_prefix("aa", BAD_PART)),
+            await fleet.stream(),
+        ]
+    assert response.status_code == 503
+    assert float(response.headers["retry-after"]) >= CONTACT_S
+    assert looks == 0
+    assert [one.status_code for one in others] == [200, 200, 200]
+    assert len(fleet.received()) == len(others)
+    assert relay.counters.counts["quarantine.refused"] == 1
+
+
+@pytest.mark.parametrize("down", ["", "busy", "silent"])
+async def test_a_node_that_starts_later_knows_before_it_serves(down):
+    """Guards against a new node that lets the part through, in an outage too."""
+    async with RelayDeployment(relays=2) as fleet:
+        await wait_for_peers(fleet)
+        impose(fleet.relays[0], BAD_PART)
+        await fleet.wait_for(lambda: is_known(fleet.relays[1]))
+        fleet.store.down = down
+        late = await fleet.start_relay(wait=False)
+        late.peers.add_address(
+            fleet.relays[0].settings.peer_address, now_s=time.monotonic()
+        )
+        await fleet.wait_for(lambda: late.is_ready(now_s=time.monotonic()))
+        assert is_known(late)
+
+
+async def test_the_part_stays_known_after_all_nodes_have_lost_power():
+    """Guards against knowledge that only the nodes' memory holds."""
+    async with RelayDeployment(relays=2) as fleet:
+        await wait_for_peers(fleet)
+        impose(fleet.relays[1], BAD_PART)
+        await fleet.wait_for(lambda: count_stored(fleet))
+        for stop in fleet.stop_events:
+            stop.set()
+        await fleet.wait_for(lambda: fleet.running == 0, timeout_s=10.0)
+        relay = await fleet.start_relay(wait=False)
+        await fleet.wait_for(lambda: relay.is_ready(now_s=time.monotonic()))
+        assert is_known(relay)
+        response = await fleet.stream(relay=2, **make_prefix(BAD_PART, "0b"))
+    assert response.status_code == 503
+
+
+async def test_a_verdict_in_an_outage_of_the_store_is_written_after_it():
+    async with RelayDeployment() as fleet:
+        fleet.store.down = "busy"
+        impose(fleet.relays[0], BAD_PART)
+        await anyio.sleep(0.5)
+        assert not count_stored(fleet)
+        fleet.store.down = ""
+        await fleet.wait_for(lambda: count_stored(fleet) == 1)
+
+
+async def test_a_node_that_missed_the_message_learns_it_from_a_heartbeat():
+    """Guards against lost datagrams, and nodes that were frozen or cut off."""
+    async with RelayDeployment(relays=2) as fleet:
+        await wait_for_peers(fleet)
+        first, other = fleet.relays
+        first.quarantine.table.impose(
+            find_parts(BAD_PART), crashes=3, now_s=time.monotonic()
+        )
+        await fleet.wait_for(lambda: is_known(other), timeout_s=2.0)
+
+
+async def test_a_prompt_under_way_is_cancelled_before_a_replica_writes():
+    """Guards against requests that crash replicas after their part is known."""
+    async with RelayDeployment(relays=2) as fleet:
+        await wait_for_peers(fleet)
+        for replica in fleet.replicas:
+            replica.default_step = "silent"
+        responses = []
+
+        async def send():
+            prefix = make_prefix(BAD_PART, "0b")
+            responses.append(await fleet.stream(relay=1, **prefix))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(send)
+            await fleet.wait_for(fleet.runs)
+            impose(fleet.relays[0], BAD_PART)
+            told_s = time.monotonic()
+        took_s = time.monotonic() - told_s
+        await fleet.wait_for(lambda: any(r.cancelled_s for r in fleet.replicas))
+    assert responses[0].status_code == 502
+    assert took_s < 0.5
+    assert len(fleet.runs()) == 1
+
+
+async def test_a_stream_that_has_begun_goes_on_and_clears_its_parts():
+    """Guards against a wrong verdict: a part that is written on is sound."""
+    async with RelayDeployment(relays=2) as fleet:
+        await wait_for_peers(fleet)
+        for replica in fleet.replicas:
+            replica.events, replica.pause_s = 20, 0.05
+        async with fleet.open_stream(relay=1, **make_prefix("aa", "0b")) as response:
+            lines = response.aiter_lines()
+            await anext(lines)
+            await fleet.wait_for(
+                lambda: any(
+                    call.is_written
+                    for call, _ in fleet.relays[1].quarantine.running.values()
+                )
+            )
+            impose(fleet.relays[0], "aa", BAD_PART)
+            rest = [line async for line in lines]
+        assert any("token 20" in line for line in rest)
+        await fleet.wait_for(lambda: is_known(fleet.relays[1], "aa") is False)
+        response = await fleet.stream(relay=0, **make_prefix("aa", "0b"))
+    assert response.status_code == 200
+
+
+async def test_a_written_part_is_lifted_at_all_nodes():
+    """Guards against a verdict that outlives the proof that it was wrong."""
+    async with RelayDeployment(relays=2) as fleet:
+        await wait_for_peers(fleet)
+        first, other = fleet.relays
+        impose(first, "aa", BAD_PART)
+        await fleet.wait_for(other.quarantine.table.list_active)
+        assert (await fleet.stream(relay=1, **make_prefix("aa", "0b"))).is_success
+        await fleet.wait_for(
+            lambda: (
+                first.quarantine.table.list_active()
+                == [frozenset(find_parts(BAD_PART))]
+            )
+        )
+
+
+async def test_broken_connections_without_a_crash_accuse_nothing():
+    """Guards against blaming parts for resets of connections."""
+    async with RelayDeployment(relays=2, replicas=4) as fleet:
+        await wait_for_peers(fleet)
+        for replica in fleet.replicas:
+            replica.default_step = "reset"
+        for number in range(12):
+            await fleet.stream(relay=number % 2, **make_prefix("aa", f"{number:x}"))
+        await anyio.sleep(2.0)
+        for relay in fleet.relays:
+            assert not relay.quarantine.table.list_active()
+            assert relay.counters.counts["quarantine.crashes"] == 0
+
+
+async def test_replicas_that_are_killed_accuse_no_part():
+    """Guards against blaming popular parts for crashes that have another cause."""
+    async with RelayDeployment(relays=3, replicas=8, crash_part="none") as fleet:
+        await wait_for_peers(fleet)
+        load = Load(fleet)
+        for replica in fleet.replicas:
+            replica.default_step, replica.long_pause_s = "late", 0.1
+
+        async def kill():
+            for _ in range(3):
+                await anyio.sleep(0.15)
+                for replica in load.draws.sample(fleet.replicas, 3):
+                    replica.crash()
+                    await anyio.sleep(0.05)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(load.run, load.send_sound, 60.0, 3.0)
+            group.start_soon(kill)
+        reports = [one.counters.counts["quarantine.crashes"] for one in fleet.relays]
+        assert sum(reports) > 3
+        for relay in fleet.relays:
+            assert not relay.quarantine.table.list_entries()
+
+
+async def test_a_node_that_saw_answers_objects_to_a_verdict():
+    """Guards against blame by nodes that only saw the failures."""
+    async with RelayDeployment(relays=2) as fleet:
+        await wait_for_peers(fleet)
+        first, other = fleet.relays
+        shared = find_parts("aa")
+        other.quarantine.evidence.note_written(shared, now_s=time.monotonic())
+        now_s = time.monotonic()
+        for number in range(3):
+            begun = (number, (*shared, bytes([number])))
+            life = Life(f"gone-{number}", 1)
+            report_crash(first, life, now_s - 0.5 + 0.1 * number, [begun])
+        await anyio.sleep(1.0)
+        assert not first.quarantine.table.list_entries()
+        assert not other.quarantine.table.list_entries()
+
+
+async def test_an_operator_lifts_a_quarantine_through_the_store(monkeypatch):
+    """Guards against a blame that nothing but time ends."""
+    monkeypatch.setattr("lycheetide.relay._quarantine.STORE_POLL_S", 0.2)
+    async with RelayDeployment(relays=2) as fleet:
+        await wait_for_peers(fleet)
+        impose(fleet.relays[0], BAD_PART)
+        await fleet.wait_for(lambda: count_stored(fleet))
+        store = platform.StoreClient(fleet.store.address)
+        topic = platform.QUARANTINE_TOPIC
+        ((entry,), _) = await read_quarantines(store, topic)
+        assert not await lift_quarantine(store, topic, "no such name")
+        assert await lift_quarantine(store, topic, entry.name)
+        await store.aclose()
+        await fleet.wait_for(lambda: not any(map(is_known, fleet.relays)))
+
+
+def test_a_request_with_hundreds_of_parts_costs_little_time():
+    """Guards against callers that make every request expensive."""
+    text = ",".join(f"{number:032x}:1" for number in range(2_000)).encode()
+    begun_s = time.perf_counter()
+    request = platform.decode_request(
+        method="POST", target=b"/stream/s",
+        headers=[(b"lycheetide-prompt-prefix", text)], now_s=0.0,
+    )  # fmt: skip
+    parts = hash_parts("models", request.shared_parts)
+    assert len(parts) == 512
+    assert time.perf_counter() - begun_s < 0.05
+
+
+@pytest.mark.parametrize(
+    "text",
+    [b",,,", b":", b"a", b"a,", b"\xff\xfe,b", b"0" * 10_000 + b",b", b" :4, :5"],
+)
+def test_malformed_lists_of_parts_are_read_without_an_error(text):
+    """Guards against a list of parts that ends a request or a task."""
+    request = platform.decode_request(
+        method="POST", target=b"/stream/s",
+        headers=[(b"lycheetide-prompt-prefix", text)], now_s=0.0,
+    )  # fmt: skip
+    assert all(request.shared_parts)
