Take a stream that ends before its first event for broken off

Callers got an empty stream with status 200 where a replica without a length or chunks in its answers crashed as it began to write: the end of its connections looked like the end of the answer, was delivered as whole, and counted as no crash. Found while testing answers that end with their connection, direct and through tunnels. Cause: only an end within an event counted as broken. Now an end before the first event counts too, unless the caller or the node resumes after one. The test failed before in both forms (empty bodies); the other 20 cases passed unchanged: ends within an event, resets, HTTP/1.0 heads, chunks beside Connection: close, pools, callers who resume at the end.

--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -316,6 +316,18 @@
         raise AttemptFailed(
             Cause.BROKEN, "the stream ended within an event", may_have_run=True
         )
+    is_resumed = bool(progress.last_id or call.request.resume_after)
+    if is_close_delimited(attempt.answer) and not (stream_attempt.events or is_resumed):
+        # A process that ends closes its connections in an orderly way.
+        raise AttemptFailed(
+            Cause.BROKEN, "the stream ended before its first event", may_have_run=True
+        )
+
+
+def is_close_delimited(answer):
+    """Tell whether only the end of the connection ends the body of an answer."""
+    framing = {b"content-length", b"transfer-encoding"}
+    return not any(name.lower() in framing for name, _ in answer.headers)
 
 
 async def _forward_event(reply, progress, stream_attempt, event):
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -75,9 +75,10 @@
     next_steps : list
         Steps of the next requests: "refuse", "refuse-helped" (only those with helpers),
         "reset", "silent", "break", "stall", "garbled", "crossed", "extra", "unframed",
-        "unframed-reset", "fail", "other", "late" and "pause" (the last two send nothing
-        for ``long_pause_s``, before the response and after two events respectively, and
-        then continue).
+        "unframed-reset", "fail", "other", "end" (a stream whose connection is closed
+        within the third event), "end-empty" (before the first one), "late" and "pause"
+        (the last two send nothing for ``long_pause_s``, before the response and after
+        two events respectively, and then continue).
     default_step : str
         Step of the requests after those of ``next_steps``; empty for a normal response.
     long_pause_s : float
@@ -101,6 +102,11 @@
     refused_helper : str
         Address of a replica; requests that use it as a helper are refused, and the
         refusal names it.
+    framing : str
+        How its streams end: "chunks"; "chunks-close", after which it closes the
+        connection; or "close", where only the end of the connection ends them.
+    http_version : str
+        Version of HTTP that the heads of its streams name.
     crash_part : str
         Id of a shared part of prompts. Within ``live``, the process crashes as it
         begins to write an answer to a prompt with this part; empty for none.
@@ -134,6 +140,8 @@
         self.is_leaving = False
         self.adds_attempt_ids = False
         self.resets_reused_connections = False
+        self.framing = "chunks"
+        self.http_version = "1.1"
         self.crash_part = ""
         self.down_s = 1.5
         self.crash_times = []
@@ -282,8 +290,13 @@
     async def _stream(self, request, stream, head, step):
         """Send a stream of events, or the first part of one."""
         lines = [f"{name}: {value}" for name, value in head.items()]
-        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
-        text = "HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n"
+        lines.append("Content-Type: text/event-stream")
+        if self.framing != "close":
+            lines.append("Transfer-Encoding: chunked")
+        if self.framing == "chunks-close":
+            lines.append("Connection: close")
+        status_line = f"HTTP/{self.http_version} 200 OK"
+        text = "\r\n".join([status_line, *lines, "", ""])
         start = int(request.headers.get("last-event-id", 0))
         signature = f" {head['Lycheetide-Attempt-Id']}" if self.adds_attempt_ids else ""
         try:
@@ -294,8 +307,13 @@
                 await self._crash_if_due(request)
                 for number in range(start + 1, self.count_events(request) + 1):
                     if step == "break" and number == start + 3:
-                        await stream.send(b"20\r\nid: 3\nda")
+                        await stream.send(self._frame(b"id: 3\nda".ljust(32))[:12])
                         raise ConnectionReset
+                    if step == "end-empty" or (step == "end" and number == start + 3):
+                        if step == "end":
+                            await stream.send(self._frame(b"id: 3\nda"))
+                        group.cancel_scope.cancel()
+                        return None
                     if step == "stall" and number == start + 3:
                         await anyio.sleep_forever()
                     if step == "pause" and number == start + 3:
@@ -312,13 +330,18 @@
             anyio.ClosedResourceError,
         ):
             raise ConnectionReset from None
-        await stream.send(b"0\r\n\r\n")
-        return RESPONSE_SENT
+        if self.framing != "close":
+            await stream.send(b"0\r\n\r\n")
+        return RESPONSE_SENT if self.framing == "chunks" else None
+
+    def _frame(self, data):
+        """Return a part of a stream as it is sent."""
+        return data if self.framing == "close" else chunk(data)
 
     async def _send_event(self, stream, event):
         """Send an event; reset the connection if it stays unread for too long."""
         with anyio.move_on_after(self.unread_limit_s) as scope:
-            await stream.send(chunk(event))
+            await stream.send(self._frame(event))
         if scope.cancelled_caught:
             self.cut_unread += 1
             raise ConnectionReset
