Deal the rest of a cold limit by what nodes send, not by their number

Cause: until the others know of its requests, a node used at most the rest of a limit divided by the number of nodes. Change: most of the rest is dealt by the requests that each node has sent lately and all know of, a quarter evenly, so the shares still make up one.

--- a/lycheetide/gossip/_jobs.py
+++ b/lycheetide/gossip/_jobs.py
@@ -1,6 +1,6 @@
 """Requests in flight on all replicas."""
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from dataclasses import dataclass
 from itertools import takewhile
 
@@ -83,7 +83,8 @@
         self.demand = demand
         self.jobs: dict[tuple[str, str], Job] = {}
         self.workloads: dict[str, ReplicaWorkload] = defaultdict(ReplicaWorkload)
-        self._starts: deque[float] = deque()
+        self._starts: deque[tuple[float, str]] = deque()
+        self._starts_by_node: Counter[str] = Counter()
         self._ended_s: dict[tuple[str, str], float] = {}
         self._by_node: dict[str, set[str]] = defaultdict(set)
         self._silent: set[tuple[str, str]] = set()
@@ -100,7 +101,8 @@
             return
         self.jobs[job.node, job.id] = job
         self._by_node[job.node].add(job.id)
-        self._starts.append(now_s)
+        self._starts.append((now_s, job.node))
+        self._starts_by_node[job.node] += 1
         for part in job.parts:
             self.workloads[part.replica].add(job, part, now_s=now_s)
         if self.demand is not None:
@@ -249,12 +251,46 @@
         The short window is needed when all callers return at once: most of the last
         second is then still empty, and its rate would be too low.
         """
-        while self._starts and now_s - self._starts[0] > START_WINDOW_S:
-            self._starts.popleft()
+        self._drop_old_starts(now_s=now_s)
         begins_s = now_s - BURST_WINDOW_S
-        burst = sum(1 for _ in takewhile(begins_s.__lt__, reversed(self._starts)))
+        times_s = (at_s for at_s, _ in reversed(self._starts))
+        burst = sum(1 for _ in takewhile(begins_s.__lt__, times_s))
         return max(len(self._starts) / START_WINDOW_S, burst / BURST_WINDOW_S)
 
+    def count_starts(self, node, *, unknown_s, now_s):
+        """Return the number of recent starts of one node, and of all nodes.
+
+        The other nodes don't know of this node's latest starts yet. If it counted them,
+        each node would overestimate its own part.
+
+        Parameters
+        ----------
+        node : str
+            The node.
+        unknown_s : float
+            Time in which its latest starts aren't counted.
+        now_s : float
+            Current time.
+
+        Returns
+        -------
+        own, total : int
+            Starts within the last ``START_WINDOW_S`` seconds.
+        """
+        self._drop_old_starts(now_s=now_s)
+        begins_s = now_s - unknown_s
+        latest = takewhile(lambda row: row[0] > begins_s, reversed(self._starts))
+        unknown = sum(one == node for _, one in latest)
+        return self._starts_by_node[node] - unknown, len(self._starts) - unknown
+
+    def _drop_old_starts(self, *, now_s):
+        """Forget the starts before the window."""
+        while self._starts and now_s - self._starts[0][0] > START_WINDOW_S:
+            _, node = self._starts.popleft()
+            self._starts_by_node[node] -= 1
+            if not self._starts_by_node[node]:
+                del self._starts_by_node[node]
+
     def drop_absent(self, present, *, now_s):
         """Drop the workload of removed replicas that have no jobs in flight.
 
--- a/lycheetide/placement/__init__.py
+++ b/lycheetide/placement/__init__.py
@@ -7,6 +7,7 @@
 from lycheetide.placement._choose import place_prompt, rank_replicas
 from lycheetide.placement._cold_limits import (
     PROPAGATION_DELAY_S,
+    find_send_share,
     may_send,
     share_cold_limits,
 )
@@ -83,6 +84,7 @@
     "estimate_unknown_requests",
     "find_longest_delay_s",
     "find_round_trips",
+    "find_send_share",
     "list_open_replicas",
     "make_step_counter",
     "may_send",
--- a/lycheetide/placement/_cold_limits.py
+++ b/lycheetide/placement/_cold_limits.py
@@ -16,6 +16,10 @@
 WARM_STARTS_PER_S = 4
 """Requests per second that one node may send to a warm replica of a service with a cold
 limit, as long as other replicas are available."""
+EVEN_SHARE = 0.25
+"""Part of the rest of a limit that all nodes share alike, whatever they send."""
+MIN_STARTS = 5
+"""Requests of all nodes from which on their distribution over the nodes counts."""
 PROPAGATION_DELAY_S = 0.1
 """Time in seconds after which a request that a node sent is assumed to be known to all
 other nodes."""
@@ -63,6 +67,38 @@
     return find_allowance
 
 
+def find_send_share(own_starts, all_starts, nodes):
+    """Return which share of the rest of a limit one node may use at once.
+
+    Callers aren't spread evenly over the nodes: a load balancer may send nearly all new
+    connections to one of them. Most of the rest is dealt by the requests that each node
+    has sent lately and a part by the number of nodes, so that the shares of all nodes
+    make up the whole.
+
+    Parameters
+    ----------
+    own_starts, all_starts : int
+        Requests sent within the last second and known to all, by this node and by all
+        nodes.
+    nodes : int
+        Number of nodes, this one included.
+
+    Returns
+    -------
+    float
+        Above 0, at most 1.
+
+    Examples
+    --------
+    >>> [find_send_share(own, 40, 4) for own in (0, 10, 40)]
+    [0.0625, 0.25, 0.8125]
+    """
+    if all_starts < MIN_STARTS:
+        return 1.0 / nodes
+    dealt_by_use = min(1.0, own_starts / all_starts)
+    return EVEN_SHARE / nodes + (1.0 - EVEN_SHARE) * dealt_by_use
+
+
 def may_send(
     limit_per_s,
     *,
@@ -72,7 +108,7 @@
     is_cold,
     is_last_resort=False,
     own_recent=0,
-    nodes=1,
+    send_share=1.0,
 ):
     """Return whether one more request may be sent to a replica now.
 
@@ -103,8 +139,9 @@
     own_recent : int, default=0
         Requests of this node that were sent within the last ``PROPAGATION_DELAY_S``
         seconds.
-    nodes : int, default=1
-        Number of nodes that may be sending, including this node.
+    send_share : float, default=1
+        Share of the rest of the limit that this node may use before the others know of
+        it, from ``find_send_share``.
     """
     if allowance is None:
         return True
@@ -113,6 +150,6 @@
         return False
     if is_cold:
         return own_starts < allowance
-    if own_recent >= max(1, left // nodes):
+    if own_recent >= max(1, int(left * send_share)):
         return False
     return is_last_resort or own_starts < max(allowance, WARM_STARTS_PER_S)
--- a/lycheetide/placement/tests/test_news.py
+++ b/lycheetide/placement/tests/test_news.py
@@ -8,10 +8,18 @@
 
 from lycheetide.gossip import START_WINDOW_S, JobTable, Started, make_job
 from lycheetide.gossip._messages import JobPart
-from lycheetide.placement import PROPAGATION_DELAY_S, may_send, share_cold_limits
+from lycheetide.placement import (
+    PROPAGATION_DELAY_S,
+    find_send_share,
+    may_send,
+    share_cold_limits,
+)
+from lycheetide.placement._cold_limits import SAFETY_FACTOR
 
 REPLICA = "r"
 SIMULATED_S = 3.0
+MEAN_BURST = 1.5
+"""Requests that arrive at one moment, on average."""
 
 
 class Node:
@@ -40,6 +48,9 @@
         """Return whether the node may send a request that is refused otherwise."""
         while self.starts_s and now_s - self.starts_s[0] > START_WINDOW_S:
             self.starts_s.popleft()
+        own, total = self.job_table.count_starts(
+            self.name, unknown_s=PROPAGATION_DELAY_S, now_s=now_s
+        )
         return may_send(
             self.limit_per_s,
             allowance=self.allowance,
@@ -50,7 +61,7 @@
             all_starts=self.job_table.starts_within(
                 REPLICA, START_WINDOW_S, now_s=now_s
             ),
-            nodes=self.count,
+            send_share=find_send_share(own, total, self.count),
             is_cold=is_cold,
             is_last_resort=True,
         )
@@ -138,3 +149,25 @@
     """A load balancer's hash sends all callers of a small service to one of 4 nodes."""
     sent_s = simulate(4, 36.0, seed=seed, delay_s=0.01, busy=0.25)
     assert count_peak(sent_s) >= 36.0 * 0.5
+
+
+def count_settled(sent_s):
+    """Return the number of requests sent after the first second."""
+    return sum(at_s >= 1.0 for at_s in sent_s)
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize(("count", "limit"), [(2, 20.0), (4, 30.0), (9, 36.0)])
+def test_a_node_that_gets_all_callers_may_send_nearly_as_much_as_all(
+    count, limit, seed
+):
+    """Guards against shares by number of nodes while one node has all callers.
+
+    The requests are as many as nodes may send to a replica that may turn cold.
+    """
+    total_per_s = limit * SAFETY_FACTOR / MEAN_BURST
+    options = {"seed": seed, "delay_s": 0.003}
+    together = simulate(count, limit, rate_per_s=total_per_s / count, **options)
+    alone = simulate(count, limit, rate_per_s=total_per_s, busy=1 / count, **options)
+    assert count_settled(alone) >= 0.75 * count_settled(together)
+    assert count_peak(alone) <= limit
--- a/lycheetide/relay/_selection.py
+++ b/lycheetide/relay/_selection.py
@@ -5,10 +5,12 @@
 from lycheetide.gossip import START_WINDOW_S
 from lycheetide.placement import (
     MAX_HELPERS,
+    PROPAGATION_DELAY_S,
     SHORT_PREFILL_S,
     Arrivals,
     estimate_prefill_s,
     estimate_unknown_requests,
+    find_send_share,
     may_send,
     place_prompt,
     share_cold_limits,
@@ -50,7 +52,14 @@
 
 
 def is_within_cold_limit(
-    relay, service, candidate, *, find_allowance, now_s, nodes=1, is_last_resort=False
+    relay,
+    service,
+    candidate,
+    *,
+    find_allowance,
+    now_s,
+    send_share=1.0,
+    is_last_resort=False,
 ):
     """Tell whether one more request may go to a replica within its cold limit.
 
@@ -66,8 +75,8 @@
         Returns this node's share of a cold limit, as made by ``share_cold_limits``.
     now_s : float
         The present time.
-    nodes : int, default=1
-        Number of nodes that may send to the replica, this one included.
+    send_share : float, default=1
+        This node's share of the rest of a limit, from ``find_send_share``.
     is_last_resort : bool, default=False
         Whether the call would be refused otherwise; see ``may_send``.
     """
@@ -90,7 +99,7 @@
         all_starts=all_starts,
         is_cold=candidate.is_cold,
         is_last_resort=is_last_resort,
-        nodes=nodes,
+        send_share=send_share,
     )
 
 
@@ -112,6 +121,10 @@
     living = relay.list_alive_nodes(now_s=now_s)
     find_allowance = share_cold_limits(relay.node, living)
     find_opening_s = make_opening_finder(relay, living, now_s=now_s)
+    own_starts, all_starts = relay.job_table.count_starts(
+        relay.node, unknown_s=PROPAGATION_DELAY_S, now_s=now_s
+    )
+    send_share = find_send_share(own_starts, all_starts, len(living))
     within_limits = [
         one for one in usable if not one.is_limited or find_opening_s(one.id) <= 0.0
     ]
@@ -124,7 +137,7 @@
                 call.service,
                 one,
                 find_allowance=find_allowance,
-                nodes=len(living),
+                send_share=send_share,
                 now_s=now_s,
                 is_last_resort=is_last_resort,
             )
