Close new connections unread while a node has more work than it can do

Cause: a node accepts and reads whatever comes, and what waits for the processor is refused or ends too late to be tried elsewhere. Change: once the event loop runs 0.15 s late, new connections of callers are closed before they are read, until it runs less than 0.05 s late, as long as some peer says that it isn't overloaded. A caller whose request wasn't read may repeat it anywhere.

--- a/lycheetide/gossip/_messages.py
+++ b/lycheetide/gossip/_messages.py
@@ -347,6 +347,8 @@
         near.
     quarantine_digest : int
         Digest of the quarantines it knows; below 0 if it hasn't loaded them.
+    is_overloaded : bool
+        Whether it gets more work than its processor can do.
 
     Notes
     -----
@@ -378,6 +380,7 @@
     is_cut_off: bool = False
     memory_stage: int = 0
     quarantine_digest: int = -1
+    is_overloaded: bool = False
 
 
 class RegistryUpdate(msgspec.Struct, frozen=True, array_like=True, tag="c"):
--- a/lycheetide/gossip/_peers.py
+++ b/lycheetide/gossip/_peers.py
@@ -54,6 +54,8 @@
         Whether it has lost its own paths to all replicas.
     memory_stage : int
         How near it is to the limit of its memory; 0 for not near.
+    is_overloaded : bool
+        Whether it gets more work than its processor can do.
     """
 
     node: str
@@ -71,6 +73,7 @@
     tunnels: int = 0
     is_cut_off: bool = False
     memory_stage: int = 0
+    is_overloaded: bool = False
 
     @property
     def tunnel_address(self):
@@ -142,6 +145,7 @@
             tunnels=heartbeat.tunnels,
             is_cut_off=heartbeat.is_cut_off,
             memory_stage=heartbeat.memory_stage,
+            is_overloaded=heartbeat.is_overloaded,
         )
         if is_new:
             self.last_new_peer_s = now_s
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -306,6 +306,7 @@
             is_cut_off=relay.paths.is_cut_off(now_s=now_s),
             memory_stage=int(update_memory(relay, now_s=now_s)),
             quarantine_digest=relay.quarantine.report_digest(),
+            is_overloaded=relay.stall_detector.is_overloaded(),
         )
         return msgspec.structs.replace(
             heartbeat, limits=self._sample_limits(heartbeat, now_s=now_s)
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -14,6 +14,7 @@
 from lycheetide.relay._dial import connect_replica, may_reuse
 from lycheetide.relay._follow import follow_operator, follow_registry
 from lycheetide.relay._ingress import make_caller_app, make_readiness_app
+from lycheetide.relay._listener import GuardedConfig
 from lycheetide.relay._messaging import PeerMessenger, discover
 from lycheetide.relay._paces import follow_paces
 from lycheetide.relay._peer_state import make_peer_app
@@ -32,9 +33,25 @@
 """How long connections of the platform and of peers may stay idle."""
 
 
-def make_server_config(settings, address, *, idle_s, header_bytes=65_536):
-    """Return the configuration of one HTTP server."""
-    config = Config()
+def make_server_config(
+    settings, address, *, idle_s, header_bytes=65_536, must_refuse=None
+):
+    """Return the configuration of one HTTP server.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        Settings of the node.
+    address : str
+        Address that it listens at.
+    idle_s : float
+        How long connections may stay idle.
+    header_bytes : int
+        Largest head of a request.
+    must_refuse : callable or None
+        Tells whether new connections are closed unread; None to accept all.
+    """
+    config = Config() if must_refuse is None else GuardedConfig(must_refuse)
     config.bind = [address]
     config.accesslog = None
     config.errorlog = None
@@ -126,7 +143,12 @@
         await group.start(stop_task, relay)
         async with anyio.create_task_group() as servers:
             for app, address, idle_s in list_apps(relay):
-                config = make_server_config(settings, address, idle_s=idle_s)
+                must_refuse = None
+                if address == settings.caller_address:
+                    must_refuse = partial(must_refuse_connection, relay)
+                config = make_server_config(
+                    settings, address, idle_s=idle_s, must_refuse=must_refuse
+                )
                 servers.start_soon(_serve, app, config, stopped)
             if settings.tunnel_address:
                 graceful_s = compute_graceful_s(settings)
@@ -188,6 +210,21 @@
     return [row for row in apps if row[1]]
 
 
+def must_refuse_connection(relay):
+    """Tell whether a new connection of a caller is closed unread, and count it.
+
+    It is if this node has more work than it can do, and another one has room.
+    """
+    if not relay.stall_detector.is_overloaded():
+        return False
+    peers = relay.peers.alive(now_s=read_clock())
+    if not any(not (peer.is_overloaded or peer.is_leaving) for peer in peers):
+        # Where all nodes are overloaded, late answers are the best they can give.
+        return False
+    relay.counters.add("connections.refused")
+    return True
+
+
 async def _serve(app, config, stopped):
     """Serve one application until the node stops."""
     await serve(app, config, shutdown_trigger=stopped.wait)
--- a/lycheetide/tasks/_stall.py
+++ b/lycheetide/tasks/_stall.py
@@ -15,6 +15,11 @@
 STALL_MIN_S = 0.4
 """A tick of the event loop that is this late counts as a stall. Choosing a replica also
 blocks the loop, for hundredths of a second."""
+LATE_TICK_S = 0.15
+"""An overload begins with a tick that is this late. A process with a small share of a
+core may pause for 0.1 s at a time."""
+PROMPT_TICK_S = 0.05
+"""An overload ends with a tick that is less late than this."""
 
 log = get_logger("node")
 
@@ -25,17 +30,30 @@
     def __init__(self):
         self._last_tick_s = None
         self._ended_s = float("-inf")
+        self._is_overloaded = False
 
     def tick(self, *, now_s):
         """Record a tick; return the length of the stall that it ends, or 0."""
         since_s = now_s if self._last_tick_s is None else self._last_tick_s
         self._last_tick_s = now_s
         stalled_s = now_s - since_s - TICK_S
+        if stalled_s >= LATE_TICK_S:
+            self._is_overloaded = True
+        elif stalled_s < PROMPT_TICK_S:
+            self._is_overloaded = False
         if stalled_s < STALL_MIN_S:
             return 0.0
         self._ended_s = now_s
         return stalled_s
 
+    def is_overloaded(self):
+        """Return whether the process gets more work than it can do.
+
+        Each turn of the event loop then takes long. A process that was suspended is
+        taken for overloaded until its next tick.
+        """
+        return self._is_overloaded
+
     def has_stalled(self, *, now_s, within_s):
         """Return whether a stall ended recently, or ends now and has no tick yet."""
         if (
