Check that a replica still runs where only a close ends its answer

Callers got a stream that looked whole, though its replica had crashed between two events: the system closes a dead process's connections in an orderly way, and without a length or chunks that is how such answers end. Cause: only an end within an event counted as broken. Change: at the end of such an answer another connection is opened; if the replica refuses it, the answer has broken off, is resumed where that is allowed and aborted otherwise. Both new tests failed before (one event of four, no error).

--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -10,7 +10,11 @@
 from lycheetide.placement import Placement
 from lycheetide.relay._admission import find_announced_customer, record_usage
 from lycheetide.relay._call import find_admission_priority
-from lycheetide.relay._dial import CONNECT_TIMEOUT_S, retry_direct_path
+from lycheetide.relay._dial import (
+    CONNECT_TIMEOUT_S,
+    connect_replica,
+    retry_direct_path,
+)
 from lycheetide.relay._evidence import record_response, record_unreached
 from lycheetide.relay._named_limits import may_still_send
 from lycheetide.relay._outcomes import AttemptFailed, Cause
@@ -309,6 +313,39 @@
     )
 
 
+def is_close_delimited(answer):
+    """Tell whether only the end of the connection ends the body of an answer."""
+    framing = {b"content-length", b"transfer-encoding"}
+    return not any(name.lower() in framing for name, _ in answer.headers)
+
+
+async def check_end(relay, attempt):
+    """Check that an answer didn't end because its replica's process did.
+
+    A process that ends closes its connections in an orderly way. An answer without a
+    length or chunks then looks whole.
+
+    Raises
+    ------
+    AttemptFailed
+        If the replica no longer accepts connections.
+    """
+    if not is_close_delimited(attempt.answer):
+        return
+    channel = attempt.channel
+    try:
+        another = await connect_replica(
+            relay, channel.address, timeout_s=CONNECT_TIMEOUT_S, first_via=channel.via
+        )
+    except ChannelConnectError as error:
+        if error.is_refused or error.is_confirmed:
+            raise AttemptFailed(
+                Cause.BROKEN, "the replica ended with its answer", may_have_run=True
+            ) from error
+    else:
+        await another.aclose()
+
+
 def _closes_connection(answer):
     """Tell whether the replica closes the connection after its answer."""
     return any(
--- a/lycheetide/relay/_buffered.py
+++ b/lycheetide/relay/_buffered.py
@@ -2,7 +2,12 @@
 
 from lycheetide.exchange import ReplicaResponse
 from lycheetide.httpclient import ChannelError
-from lycheetide.relay._attempt import announced_attempt, make_failure, open_attempt
+from lycheetide.relay._attempt import (
+    announced_attempt,
+    check_end,
+    make_failure,
+    open_attempt,
+)
 from lycheetide.relay._capacity import (
     find_min_attempt_s,
     leave_time_for_attempt,
@@ -154,6 +159,7 @@
             body = await attempt.channel.read_all(timeout_s=wait_s, more=more)
         except ChannelError as broken:
             raise make_failure(broken, attempt.channel) from broken
+        await check_end(relay, attempt)
         if attempt.answer.status < MIN_SERVER_ERROR_STATUS:
             note_written(relay, call)
             record_answer(relay, call, placement, sent_s=sent_s, now_s=read_clock())
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -11,7 +11,13 @@
 
 from lycheetide.httpclient import ChannelError
 from lycheetide.placement import MIN_CALLER_PATIENCE_S, estimate_pass_s
-from lycheetide.relay._attempt import announced_attempt, make_failure, open_attempt
+from lycheetide.relay._attempt import (
+    announced_attempt,
+    check_end,
+    is_close_delimited,
+    make_failure,
+    open_attempt,
+)
 from lycheetide.relay._events import EventSplitter
 from lycheetide.relay._evidence import record_failed_attempt
 from lycheetide.relay._hedging import HedgedAttempts
@@ -318,16 +324,10 @@
         )
     is_resumed = bool(progress.last_id or call.request.resume_after)
     if is_close_delimited(attempt.answer) and not (stream_attempt.events or is_resumed):
-        # A process that ends closes its connections in an orderly way.
         raise AttemptFailed(
             Cause.BROKEN, "the stream ended before its first event", may_have_run=True
         )
-
-
-def is_close_delimited(answer):
-    """Tell whether only the end of the connection ends the body of an answer."""
-    framing = {b"content-length", b"transfer-encoding"}
-    return not any(name.lower() in framing for name, _ in answer.headers)
+    await check_end(relay, attempt)
 
 
 async def _forward_event(reply, progress, stream_attempt, event):
--- a/lycheetide/relay/tests/test_close_delimited.py
+++ b/lycheetide/relay/tests/test_close_delimited.py
@@ -1,5 +1,7 @@
 """Answers that have neither a length nor chunks, and end with their connection."""
 
+from contextlib import nullcontext
+
 import httpx
 import pytest
 
@@ -117,3 +119,28 @@
     assert answer.status_code == 200
     assert answer.headers["content-length"] == str(len(answer.content))
     assert len(fleet.runs()) == runs
+
+
+@pytest.mark.parametrize("path", ["/stream/s", "/stream-once/s"])
+async def test_a_stream_that_ends_with_its_replica_is_not_whole(path):
+    """Guards against a crash between two events that looks like the stream's end."""
+    async with RelayDeployment(crash_part="none") as fleet:
+        await fleet.wait_for(lambda: len(fleet.relays[0].replicas.replicas) == 2)
+        for replica in fleet.replicas:
+            replica.framing, replica.pause_s = "close", 0.1
+        async with fleet.open_stream(path=path) as response:
+            chunks = response.aiter_bytes()
+            received = [await anext(chunks)]
+            (running,) = (one for one in fleet.replicas if one.runs)
+            running.crash()
+            with expect_end(path):
+                received += [chunk async for chunk in chunks]
+    if path == "/stream/s":
+        assert b"".join(received) == WHOLE_STREAM
+
+
+def expect_end(path):
+    """Return a context in which a stream that may not be resumed breaks off."""
+    if path == "/stream/s":
+        return nullcontext()
+    return pytest.raises(httpx.RemoteProtocolError)
