Let the soak crash replicas by a part of prompts, and burst connections at one node

Callers send prompts with a part on which replicas crash, beside sound ones that share the other parts; replicas end their streams with chunks, with the connection, or both; nearly all new connections go to one node for some seconds. Checks: the rule on requests after the fifth crash, no sound part in quarantine (in every run), and what a node serves in a burst. A crash closes the listener, so that connections are refused as they are after the end of a process.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 import anyio
 
 from soak.run import (
+    BURST_COUNT,
     DEMAND_COUNT,
     FAULT_COUNT,
     FAULT_PHASE_S,
@@ -29,6 +30,10 @@
     parser.add_argument("--quiets", type=int, default=QUIET_COUNT)
     parser.add_argument("--demands", type=int, default=DEMAND_COUNT)
     parser.add_argument("--link-cuts", type=int, default=LINK_CUT_COUNT)
+    parser.add_argument("--bursts", type=int, default=BURST_COUNT)
+    parser.add_argument(
+        "--sound", action="store_true", help="send no prompts that crash replicas"
+    )
     parser.add_argument("--nodes", type=int, default=4)
     args = parser.parse_args()
     first = int(time.time()) if args.first is None else args.first
@@ -60,6 +65,8 @@
         quiets=args.quiets,
         demands=args.demands,
         link_cuts=args.link_cuts,
+        bursts=args.bursts,
+        has_bad_part=not args.sound,
     )
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,13 @@
 from soak.deployment import API_KEY, HOST, PATIENT_TIMEOUT_MS, SECOND_KEY
 
 CALLER_COUNT = 24
+BAD_CALLER_COUNT = 3
+BAD_PER_S = 1.0
+"""Prompts of one bad caller per second, without repeats."""
+BAD_PART = "bad0bad0"
+SYSTEM_PART = "5e5e5e5e"
+OTHER_PARTS = 5
+"""Parts that prompts share, besides the one that all have."""
 MEAN_PAUSE_S = 0.25
 DEADLINE_S = 3.0
 HUGE_TOKENS = 150_000
@@ -82,7 +89,7 @@
 
 async def run_caller(deployment, attempts, rng, name, kinds=CALL_KINDS):
     """Send calls until cancelled; append each attempt to a list as it ends."""
-    count = 0
+    count = bursts = 0
     node = None
     async with httpx.AsyncClient(
         timeout=DEADLINE_S + 3.0,
@@ -93,8 +100,8 @@
     ) as client:
         while True:
             await anyio.sleep(rng.expovariate(1.0 / MEAN_PAUSE_S))
-            if node is None:
-                node = rng.choice(deployment.list_rotation())
+            if node is None or bursts != deployment.bursts:
+                node, bursts = deployment.choose_node(rng), deployment.bursts
             count += 1
             attempt = await call(
                 client, node, rng.choice(kinds), f"{name:04x}{count:012x}"
@@ -141,6 +148,33 @@
     )  # fmt: skip
 
 
+async def run_bad_caller(deployment, attempts, rng, name):
+    """Send prompts with a part that crashes replicas until cancelled.
+
+    Each prompt goes to two nodes, on a connection of its own.
+    """
+    count = 0
+    while True:
+        await anyio.sleep(rng.expovariate(BAD_PER_S))
+        for _ in range(2):
+            count += 1
+            node = rng.choice(deployment.list_rotation())
+            async with httpx.AsyncClient(
+                timeout=DEADLINE_S + 3.0, trust_env=False, verify=False
+            ) as client:
+                attempt = await call(client, node, "bad", f"{name:04x}{count:012x}")
+            attempts.append(attempt)
+
+
+def make_prompt_parts(kind, attempt_id):
+    """Return the list of the parts of a prompt, drawn by its attempt id."""
+    number = int(attempt_id, 16)
+    parts = [SYSTEM_PART, f"{number % OTHER_PARTS:08x}"]
+    if kind == "bad":
+        parts.insert(number % 3, BAD_PART)
+    return ",".join(f"{part}:40" for part in (*parts, f"{attempt_id}:900"))
+
+
 def make_request(client, node, kind, attempt_id):
     """Return the HTTP request of one kind of call."""
     headers = {
@@ -160,6 +194,7 @@
     }.get(kind, ("POST", "/stream/s", 1_000))
     if tokens:
         headers["lycheetide-token-count"] = f"{tokens},200"
+        headers["lycheetide-prompt-prefix"] = make_prompt_parts(kind, attempt_id)
     content = b"a body" if method == "POST" else None
     url = f"http://{node.front.address}{path}"
     return client.build_request(method, url, headers=headers, content=content)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,16 +3,19 @@
 import re
 from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from soak.callers import SILENCE_TIMEOUT_S, find_deadline_s
 from soak.demands import check_leaving, check_limits, check_rests
 from soak.deployment import FAILURE_DOMAINS
+from soak.quarantines import check_bursts, check_crashing_part, check_quarantines
 from soak.replicas import COLD_PER_S, PATIENT_STREAM_EVENTS, STREAM_EVENTS
 from standins.replica import RESPONSE_SEAL
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that the request did not and will not run."""
+UNOWED_KINDS = ("leave", "bad")
+"""Kinds whose callers are owed no answer."""
 NON_IDEMPOTENT_KINDS = ("book", "once")
 FAILED_ATTEMPT_STATUSES = (502, 504)
 """Statuses of a node for a failed attempt that may have run."""
@@ -65,6 +68,8 @@
         Unexpected exits of processes.
     calm_s : float
         Time from which on every attempt must succeed.
+    quarantined : list of frozenset of bytes
+        Sets of parts that are in quarantine at the end.
     """
 
     attempts: list
@@ -72,6 +77,7 @@
     faults: object
     own_exits: list
     calm_s: float
+    quarantined: list = field(default_factory=list)
 
     def is_disturbed(self, what, from_s, to_s, *, kinds=None):
         """Return whether a component was disturbed at any time within a period."""
@@ -130,6 +136,7 @@
         check_cancellation, check_cold_rate, check_unanswered,
         check_interrupted_streams, check_reservations, check_recovery,
         check_limits, check_rests, check_leaving, check_cut_nodes,
+        check_crashing_part, check_quarantines, check_bursts,
     ):  # fmt: skip
         yield from check(record)
     for line in record.own_exits:
@@ -267,7 +274,9 @@
     """Check that each forwarded request is answered, also during a graceful stop."""
     forwarded = find_forwarded(record)
     for attempt in record.attempts:
-        if attempt.status or attempt.kind == "leave" or attempt.id not in forwarded:
+        if attempt.status or attempt.kind in UNOWED_KINDS:
+            continue
+        if attempt.id not in forwarded:
             continue
         if record.is_excused_by_cut(attempt):
             continue
@@ -399,7 +408,7 @@
     """Check that every attempt succeeds some time after the last disturbance."""
     revoked = bool(record.faults.revoked)
     for attempt in record.attempts:
-        if attempt.started_s < record.calm_s or attempt.kind == "leave":
+        if attempt.started_s < record.calm_s or attempt.kind in UNOWED_KINDS:
             continue
         wanted = 401 if revoked and attempt.kind == "second_key" else 200
         if attempt.status != wanted or not attempt.is_complete:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -26,6 +26,8 @@
 RESTART_DELAY_S = 0.3
 READINESS_POLL_S = 0.4
 """Interval of the balancer's readiness polls; two failures remove a node."""
+HOT_SHARE = 0.9
+"""Share of the new connections that go to one node in a burst."""
 STOP_S = 5.0
 STOP_NOTICE_S = 1.5
 START_TIMEOUT_S = 20.0
@@ -125,6 +127,8 @@
         self.starts: list[tuple[str, float]] = []
         self.version = 1
         self.is_closing = False
+        self.hot_node: Node | None = None
+        self.bursts = 0
         self._stack = AsyncExitStack()
 
     def _make_node(self, index):
@@ -334,6 +338,13 @@
             node.missed_polls = 0 if is_ready else node.missed_polls + 1
             await anyio.sleep(READINESS_POLL_S)
 
+    def choose_node(self, rng):
+        """Return the node that a caller's new connection goes to."""
+        hot_node = self.hot_node
+        if hot_node is not None and hot_node.in_rotation and rng.random() < HOT_SHARE:
+            return hot_node
+        return rng.choice(self.list_rotation())
+
     def list_rotation(self):
         """Return the nodes that receive callers; all of them if none is ready."""
         return [node for node in self.nodes if node.in_rotation] or self.nodes
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 import signal
 import time
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 
@@ -15,6 +16,11 @@
 ENTRY_RETURN_DELAY_S = 1.0
 TRUNCATED_SETTINGS = "[node]\nname = \nthis is no"
 
+CRASH_DOWN_S = 1.2
+"""Time until the next process of a replica starts that a prompt has crashed."""
+BURST_S = 3.0
+BURST_STEP_S = 0.8
+"""Interval at which callers leave their connections in a burst."""
 LINK_KINDS = ("silent", "reset", "refused")
 NAMED_LIMITS = ("1.5", "0.4", "1", "0", "4")
 RESTS = ("3", "4.5", "6")
@@ -75,6 +81,23 @@
     is_from_all: bool
 
 
+@dataclass(frozen=True)
+class Burst:
+    """A period in which nearly all new connections went to one node.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node.
+    from_s, to_s : float
+        Start and end.
+    """
+
+    node: str
+    from_s: float
+    to_s: float
+
+
 class FaultInjector:
     """Injects the faults of one run.
 
@@ -97,6 +120,8 @@
         Periods in which a replica named a limit, and in which it said that it leaves.
     cuts : list of LinkCut
         Periods in which a node was cut from replicas.
+    bursts : list of Burst
+        Periods in which nearly all new connections went to one node.
     """
 
     def __init__(self, deployment):
@@ -108,6 +133,9 @@
         self.limits = []
         self.left = []
         self.cuts = []
+        self.bursts = []
+        for index, replica in enumerate(deployment.replicas):
+            replica.on_crash = partial(self.crash_for_part, index)
         self._cut_nodes = set()
 
     @property
@@ -257,6 +285,40 @@
         self._turn_cold(replica)
         return [f"replica {replica.name}"]
 
+    def crash_for_part(self, index):
+        """Take a replica down whose process a prompt has ended, for some seconds."""
+        self.deployment.group.start_soon(self._take_down, index)
+
+    async def _take_down(self, index):
+        """Take a replica down; its next process has another start and address."""
+        replica = self.deployment.replicas[index]
+        proxy = self.deployment.replica_proxies[index]
+        started_s = time.monotonic()
+        proxy.close()
+        replica.clear_reservations()
+        await anyio.sleep(CRASH_DOWN_S)
+        self.deployment.born_ms[replica.name] += 10_000
+        proxy.reopen()
+        self._turn_cold(replica)
+        self.disturbances.append(
+            Disturbance(f"replica {replica.name}", "crash", started_s, time.monotonic())
+        )
+
+    async def _burst(self, fault):
+        """Hand nearly all new connections to one node, and let callers open more."""
+        deployment = self.deployment
+        if deployment.hot_node is not None:
+            return []
+        node = deployment.hot_node = self._target_node(fault)
+        started_s = time.monotonic()
+        until_s = started_s + BURST_S + fault.duration_s
+        while time.monotonic() < until_s:
+            deployment.bursts += 1
+            await anyio.sleep(BURST_STEP_S)
+        deployment.hot_node = None
+        self.bursts.append(Burst(node.name, started_s, time.monotonic()))
+        return []
+
     async def _cold(self, fault):
         """Make a replica cold; nodes learn of it only from its next registry entry."""
         replica, _ = self._target_replica(fault)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -32,6 +32,7 @@
         self.clear_faults()
         self._open_pairs = set()
         self._connection_count = 0
+        self._closed_count = 0
 
     def clear_faults(self):
         """Stop injecting faults."""
@@ -49,8 +50,33 @@
     @asynccontextmanager
     async def run(self):
         """Accept connections while the context is open."""
-        async with listen(self._serve) as self.address:
+        async with anyio.create_task_group() as group:
+            await group.start(self._listen_in_turns)
             yield self
+            group.cancel_scope.cancel()
+
+    async def _listen_in_turns(self, *, task_status):
+        """Listen, and after each close listen again at another address."""
+        while True:
+            self._closed = anyio.Event()
+            self._reopened = anyio.Event()
+            async with listen(self._serve) as self.address:
+                if self._closed_count == 0:
+                    task_status.started()
+                await self._closed.wait()
+            await self._reopened.wait()
+
+    def close(self):
+        """Close all connections in an orderly way, and refuse new ones.
+
+        That is what the system does when a process ends.
+        """
+        self._closed_count += 1
+        self._closed.set()
+
+    def reopen(self):
+        """Listen again, at another address."""
+        self._reopened.set()
 
     async def _serve(self, near):
         """Forward one connection."""
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -34,6 +34,8 @@
         Requests that it turned away with a request for rest.
     ends : dict of str to float
         Time when its work on each attempt ended, by attempt id.
+    on_crash : callable
+        Called when its process ends for a prompt with ``crash_part``.
     """
 
     def __init__(self, name, *, events=STREAM_EVENTS, pause_s=EVENT_INTERVAL_S):
@@ -46,6 +48,7 @@
         self.expires_s = {}
         self.ends = {}
         self.turned = []
+        self.on_crash = lambda: None
         self.kv_tokens = 100_000
 
     async def answer(self, request, stream):
@@ -75,6 +78,11 @@
         finally:
             self.ends[attempt] = time.monotonic()
 
+    def crash(self):
+        """End the process."""
+        self.crash_times.append(time.monotonic())
+        self.on_crash()
+
     def go_silent(self, seconds):
         """Send nothing for a while, like an engine that reads a huge prompt."""
         now_s = time.monotonic()
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,18 +6,24 @@
 
 import anyio
 
+from lycheetide.platform import QUARANTINE_TOPIC
+from lycheetide.quarantine import decode_entries
 from lycheetide.tasks import TICK_S, StallDetector
 from soak.callers import (
+    BAD_CALLER_COUNT,
+    BAD_PART,
     CALL_KINDS,
     CALL_KINDS_WITH_PATIENT,
     CALLER_COUNT,
     SMALL_CALL_KINDS,
+    run_bad_caller,
     run_caller,
 )
 from soak.checks import RunRecord, find_violations
 from soak.deployment import PATIENT_TIMEOUT_MS, STOP_NOTICE_S, STOP_S, Deployment
 from soak.faults import FaultInjector
 from soak.schedule import (
+    generate_bursts,
     generate_demands,
     generate_faults,
     generate_link_cuts,
@@ -29,6 +35,8 @@
 QUIET_COUNT = 6
 DEMAND_COUNT = 6
 LINK_CUT_COUNT = 3
+BURST_COUNT = 1
+FRAMINGS = ("chunks", "close", "chunks-close")
 RECOVERY_S = 6.0
 """Time after the last fault from which on every attempt must succeed."""
 CALM_S = 3.0
@@ -76,6 +84,8 @@
     quiets=0,
     demands=0,
     link_cuts=0,
+    bursts=0,
+    has_bad_part=False,
 ):
     """Execute one run and check its guarantees.
 
@@ -96,12 +106,18 @@
         Number of demands that replicas make in their answers, likewise.
     link_cuts : int
         Number of cuts between nodes and replicas, likewise.
+    bursts : int
+        Number of times in which nearly all new connections go to one node.
+    has_bad_part : bool
+        Whether callers send prompts with a part that crashes replicas while there are
+        faults. Replicas then end their streams in different ways.
     """
     schedule = list(generate_faults(seed, seconds=seconds, count=count))
     schedule += generate_silences(seed, seconds=seconds, count=quiets)
     schedule += generate_demands(seed, seconds=seconds, count=demands)
     schedule += generate_link_cuts(seed, seconds=seconds, count=link_cuts)
-    if quiets or demands or link_cuts:
+    schedule += generate_bursts(seed, seconds=seconds, count=bursts)
+    if quiets or demands or link_cuts or bursts:
         schedule.sort(key=lambda fault: fault.at_s)
     kinds, stop_s = CALL_KINDS, STOP_S
     if quiets:
@@ -128,6 +144,14 @@
                     # end with the faults, as the fleet isn't sized for them.
                     names = range(CALLER_COUNT, 2 * CALLER_COUNT)
                     start_callers(more_callers, names, SMALL_CALL_KINDS)
+                if has_bad_part:
+                    add_bad_part(deployment)
+                    for name in range(BAD_CALLER_COUNT):
+                        rng = random.Random(f"{seed}/bad/{name}")
+                        more_callers.start_soon(
+                            run_bad_caller, deployment, attempts, rng,
+                            2 * CALLER_COUNT + name,
+                        )  # fmt: skip
                 await _inject_faults(faults, schedule)
                 more_callers.cancel_scope.cancel()
             await anyio.sleep(RECOVERY_S)
@@ -136,15 +160,32 @@
             callers.cancel_scope.cancel()
         await anyio.sleep(RELEASE_WAIT_S)
         record = RunRecord(
-            attempts, deployment.replicas, faults, deployment.own_exits, calm_s
-        )
+            attempts, deployment.replicas, faults, deployment.own_exits, calm_s,
+            list_quarantined(deployment.store),
+        )  # fmt: skip
         broken = list(find_violations(record))
+        attempts = [attempt for attempt in attempts if attempt.kind != "bad"]
         served = sum(attempt.is_successful for attempt in attempts)
         shown = [f"{one.at_s:.1f} {one.kind} {one.target % 64}" for one in schedule]
         folder = str(deployment.folder)
     return RunResult(seed, broken, len(attempts), served, shown, folder, stalls)
 
 
+def add_bad_part(deployment):
+    """Let replicas crash on a part, and end their streams in different ways."""
+    for index, replica in enumerate(deployment.replicas):
+        replica.crash_part = BAD_PART
+        replica.framing = FRAMINGS[index % len(FRAMINGS)]
+
+
+def list_quarantined(store):
+    """Return the sets of parts that the store names as in quarantine."""
+    newest = store.topic(QUARANTINE_TOPIC).newest()
+    values = [value for _, value in newest.values() if value]
+    entries = [entry for value in values for entry in decode_entries(value)]
+    return [frozenset(entry.parts) for entry in entries if not entry.is_lifted]
+
+
 async def _record_stalls(stalls):
     """Record stalls of this process until cancelled."""
     started_s = time.monotonic()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -132,6 +132,23 @@
     return faults
 
 
+def generate_bursts(seed, *, seconds, count):
+    """Return times in which nearly all new connections go to one node.
+
+    They use a separate random generator, as silences do.
+
+    Parameters
+    ----------
+    seed, seconds, count
+        As in ``generate_faults``.
+    """
+    rng = random.Random(f"{seed}/bursts")
+    return [
+        Fault(rng.uniform(0.0, seconds), "burst", rng.randrange(1 << 16), rng.random())
+        for _ in range(count)
+    ]
+
+
 def generate_demands(seed, *, seconds, count):
     """Return demands that replicas make in their answers, some at the same time.
 
