--- a/lycheetide/cli/_main.py
+++ b/lycheetide/cli/_main.py
@@ -17,7 +17,7 @@
 
 from lycheetide._version import __version__
 from lycheetide.cli._config import ConfigCommand, NodeAddress, load_fleet_file
-from lycheetide.cli._exits import EXIT_INVALID
+from lycheetide.cli._exits import EXIT_INVALID, EXIT_UNREACHABLE
 from lycheetide.cli._node import load_settings, run_node_from_file
 from lycheetide.cli._output import fetch_json
 from lycheetide.metrics import describe_outcome, read_request_lines, sort_by_time
@@ -384,6 +384,46 @@
             save_latency_plot(outcomes, self.plot_path)
 
 
+@cappa.command(
+    name="quarantines",
+    help="List the prompt parts that are kept from replicas, or lift a quarantine.",
+    description="Example: lycheetide quarantines --store 10.200.1.7:8223 --lift 4b9f0f",
+)
+@dataclass
+class QuarantinesCommand:
+    """List quarantines of prompt parts, or lift one.
+
+    Parameters
+    ----------
+    store : str
+        Address of the platform's store.
+    lift : str
+        Name of the quarantine to lift, or its beginning; empty to list all.
+    """
+
+    store: Annotated[str, cappa.Arg(long=True, help="address of the store")]
+    lift: Annotated[
+        str, cappa.Arg(long=True, help="name of a quarantine, or its beginning")
+    ] = ""
+
+    def __call__(self):
+        """Print the quarantines, or lift one; the nodes follow within seconds."""
+        from lycheetide.cli._quarantines import format_entry, list_or_lift
+        from lycheetide.exchange import StoreUnavailable
+
+        try:
+            entries = anyio.run(list_or_lift, self.store, self.lift)
+        except StoreUnavailable as error:
+            raise cappa.Exit(str(error), code=EXIT_UNREACHABLE) from None
+        if self.lift and not entries:
+            raise cappa.Exit(
+                f"not exactly one quarantine begins with {self.lift!r}",
+                code=EXIT_INVALID,
+            )
+        for entry in entries:
+            print(format_entry(entry))
+
+
 @cappa.command(
     name="lycheetide", help="A serving layer for prompts of very different lengths."
 )
@@ -406,6 +446,7 @@
         | LossesCommand
         | PricesCommand
         | LoadCommand
+        | QuarantinesCommand
     ]
 
 
--- a/lycheetide/cli/tests/test_main.py
+++ b/lycheetide/cli/tests/test_main.py
@@ -8,10 +8,15 @@
 import time
 from pathlib import Path
 
+import anyio
 import pytest
 
+from lycheetide.cli._quarantines import format_entry, list_or_lift
 from lycheetide.fleet import FleetBuilder, print_fleet
+from lycheetide.platform import QUARANTINE_TOPIC
+from lycheetide.quarantine import QuarantineTable, encode_entries, hash_part
 from standins.local import find_port
+from standins.store import Store
 
 ROOT = Path(__file__).resolve().parents[3]
 BINARY = ROOT / "dist" / "lycheetide"
@@ -153,3 +158,23 @@
     assert [p.name for p in tmp_path.iterdir()] == ["node.ini"]
     unpacked = set(Path("/tmp").iterdir()) - before
     assert not [p for p in unpacked if p.name.startswith(("_MEI", "shiv", ".shiv"))]
+
+
+def test_an_operator_lists_quarantines_and_lifts_one():
+    """Guards against a blamed part that an operator can neither see nor lift."""
+    entry = QuarantineTable().impose([hash_part("models", "a")], crashes=3, now_s=0.0)
+
+    async def list_by_prefix():
+        store = Store()
+        async with store.server.run():
+            store.put(QUARANTINE_TOPIC, entry.name, encode_entries([entry]))
+            for prefix in ("", "no such", entry.name[:8], ""):
+                rows = await list_or_lift(store.address, prefix)
+                yield [format_entry(row).split()[1] for row in rows]
+
+    async def collect():
+        return [states async for states in list_by_prefix()]
+
+    assert anyio.run(collect) == [["imposed"], [], ["lifted"], ["lifted"]]
+    done = run("quarantines", "--store", f"127.0.0.1:{find_port()}")
+    assert done.returncode == 1
--- a/lycheetide/quarantine/_evidence.py
+++ b/lycheetide/quarantine/_evidence.py
@@ -32,10 +32,10 @@
 """How long crashes are remembered."""
 MAX_SAMPLES = 256
 MAX_SAMPLE_PARTS = 8_192
-"""Most parts of all remembered crashes together, about 0.5 MB."""
+"""Most parts of all remembered crashes together."""
 MAX_WRITTEN = 4_096
-"""Parts of which the last event is remembered, about 0.7 MB. Popular ones are renewed
-all the time; a part that was displaced counts as never written on."""
+"""Parts of which the last event is remembered. Popular ones are renewed all the time; a
+part that was displaced counts as never written on."""
 NEVER_S = float("-inf")
 
 
@@ -82,9 +82,16 @@
 
 
 class CrashEvidence:
-    """Crashes of replicas, and the parts of prompts that replicas have written on."""
+    """Crashes of replicas, and the parts of prompts that replicas have written on.
 
-    def __init__(self):
+    Parameters
+    ----------
+    min_crashes : int, default=MIN_CRASHES
+        Crashes that make a part a culprit.
+    """
+
+    def __init__(self, *, min_crashes=MIN_CRASHES):
+        self._min_crashes = min_crashes
         self._samples: OrderedDict[tuple[Life, int], CrashSample] = OrderedDict()
         self._sample_parts = 0
         self._suspect_parts: dict[bytes, int] = defaultdict(int)
@@ -224,7 +231,12 @@
                     fresh[part].append(sample)
         joined = frozenset().union(*(parts for parts in known if len(parts) > 1))
         return {
-            part: Suspect.make(samples[part], fresh[part], is_joined=part in joined)
+            part: Suspect.make(
+                samples[part],
+                fresh[part],
+                is_joined=part in joined,
+                min_crashes=self._min_crashes,
+            )
             for part in fresh
         }
 
@@ -251,7 +263,7 @@
     known_s: float
 
     @classmethod
-    def make(cls, samples, fresh, *, is_joined):
+    def make(cls, samples, fresh, *, is_joined, min_crashes):
         """Weigh the crashes of one part.
 
         Parameters
@@ -262,10 +274,12 @@
             Those among them that no known set of parts explains.
         is_joined : bool
             Whether it is a member of a set that is quarantined together.
+        min_crashes : int
+            Crashes that suffice.
         """
         counted = tuple(samples if is_joined else fresh)
         crashes = count_crashes(counted)
-        is_enough = crashes >= MIN_CRASHES
+        is_enough = crashes >= min_crashes
         if is_joined:
             is_enough = is_enough and count_crashes(fresh) >= MIN_NARROWING_CRASHES
         prompts = len({sample.prompt for sample in counted})
--- a/standins/links.py
+++ b/standins/links.py
@@ -104,6 +104,7 @@
         self.node = node
         self.address = address
         self._held = None
+        self._is_reset = False
 
     def __getattr__(self, name):
         """Return an attribute of the connection itself."""
@@ -113,7 +114,12 @@
         """Return the next bytes."""
         # Kept if the wait is cancelled: a reader may give up and read again later.
         if self._held is None:
-            self._held = await self.inner.receive(*size)
+            try:
+                self._held = await self.inner.receive(*size)
+            except anyio.EndOfStream:
+                if self._is_reset:
+                    raise anyio.BrokenResourceError from None
+                raise
         await self.links.wait_while_silent(self.node, self.address)
         data, self._held = self._held, None
         return data
@@ -124,7 +130,8 @@
         await self.inner.send(data)
 
     def shut_down(self):
-        """End both directions, as this node sees a connection that was reset."""
+        """End both directions; reading fails as on a connection that was reset."""
+        self._is_reset = True
         raw = self.inner.extra(anyio.abc.SocketAttribute.raw_socket)
         with suppress(OSError):
             raw.shutdown(socket.SHUT_RDWR)
