--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -328,7 +328,7 @@
     Raises
     ------
     AttemptFailed
-        If the replica no longer accepts connections.
+        If no connection to the replica can be opened any more.
     """
     if not is_close_delimited(attempt.answer):
         return
@@ -338,12 +338,11 @@
             relay, channel.address, timeout_s=CONNECT_TIMEOUT_S, first_via=channel.via
         )
     except ChannelConnectError as error:
-        if error.is_refused or error.is_confirmed:
-            raise AttemptFailed(
-                Cause.BROKEN, "the replica ended with its answer", may_have_run=True
-            ) from error
-    else:
-        await another.aclose()
+        # It answered a moment ago, so the replica is more likely gone than the path.
+        raise AttemptFailed(
+            Cause.BROKEN, "the replica ended with its answer", may_have_run=True
+        ) from error
+    await another.aclose()
 
 
 def _closes_connection(answer):
