Keep prompts that crash engines from the product's own engines too

Callers of the product's own interface had the same fault: a prompt that crashes its engine was retried at the next one, and its caller's repeats at other nodes did it again. The parts of a prompt are here its beginning, which others share, and its text. Nodes tell each other crashes and quarantines in the replies to heartbeats. Test: three nodes, ten engines that end on prompts with one beginning, sound prompts beside; with the check taken out all engines end and a sound prompt gets 503. Quarantines of this interface aren't stored in the log yet: they are lost if all nodes end at once.

--- a/lycheetide/node/_heartbeats.py
+++ b/lycheetide/node/_heartbeats.py
@@ -6,6 +6,7 @@
 
 from lycheetide.membership import make_view_record
 from lycheetide.metrics import get_logger
+from lycheetide.node._quarantine import apply_reply, make_crash_rows
 from lycheetide.node._state import generate_id, read_clock
 from lycheetide.peers import PeerUnreachable, PullReply, PullRequest
 from lycheetide.platformlog import LogUnavailable
@@ -41,7 +42,13 @@
     async def pull(request):
         view = node.membership.view
         newer = view if view.number > request.row.view_number else None
-        return PullReply(make_own_rows(node, read_clock()), newer)
+        now_s = read_clock()
+        return PullReply(
+            make_own_rows(node, now_s),
+            newer,
+            make_crash_rows(node, now_s=now_s),
+            tuple(node.quarantine.table.list_entries()),
+        )
 
     return pull
 
@@ -97,6 +104,7 @@
     now_s = read_clock()
     if reply.view is not None and node.membership.apply_view(reply.view, now_s=now_s):
         on_change()
+    apply_reply(node, reply, asked_s=asked_s, now_s=now_s)
     rows = [row for row in reply.rows if row.member.member_id != node.own_id]
     out = node.membership.failover.out
     node.membership.apply_rows(rows, asked_s=asked_s, now_s=now_s)
--- a/lycheetide/node/_prompts.py
+++ b/lycheetide/node/_prompts.py
@@ -15,6 +15,12 @@
     release_permit,
     report_acceptance,
 )
+from lycheetide.node._quarantine import (
+    check_prompt,
+    hash_prompt,
+    note_broken_attempt,
+    note_first_token,
+)
 from lycheetide.node._state import generate_id
 from lycheetide.node._successors import (
     acquire_successor,
@@ -97,6 +103,12 @@
     successor : (HeldPermit, float) or None
         Permit for the next attempt, as ``acquire_permit`` returns it, if the current
         attempt was ended in favour of that one.
+    parts : tuple of (bytes, bytes)
+        Hashes of the prompt's beginning and of its text.
+    accepted_by : str
+        Id of the engine process that accepted the current attempt; empty before.
+    has_token : bool
+        Whether the current attempt has received a token.
     """
 
     admitted: Any
@@ -108,6 +120,9 @@
     avoid: list[str] = field(default_factory=list)
     silence: SilenceTimer = field(default_factory=SilenceTimer)
     successor: Any = None
+    parts: tuple[bytes, bytes] = (b"", b"")
+    accepted_by: str = ""
+    has_token: bool = False
 
     def step(self, event):
         """Apply an event to the lifecycle state."""
@@ -142,7 +157,8 @@
         ``NotRunError`` if no upstream can have started the request, else
         ``RequestFailedError``.
     """
-    run = PromptRun(admitted, prompt)
+    parts = hash_prompt(admitted.customer.name, prompt)
+    run = PromptRun(admitted, prompt, parts=parts)
     run.step("admitted")
     try:
         with anyio.CancelScope(deadline=admitted.deadline_s) as scope:
@@ -167,6 +183,8 @@
 async def _attempt_until_done(node, run, emit):
     """Make attempts until one delivers the rest of the answer."""
     while True:
+        check_prompt(node, run.parts)
+        run.accepted_by, run.has_token = "", False
         held, asked_s = pop_successor(run) or await acquire_permit(
             node, _make_permit_spec(run)
         )
@@ -185,6 +203,9 @@
         except UpstreamError as error:
             if not isinstance(error, UpstreamRefusedError):
                 broken = replicas
+            if not run.has_token:
+                head = node.fleet.upstreams.get(replicas[-1])
+                note_broken_attempt(node, run, head, run.accepted_by, error)
             _prepare_retry(node, run, replicas, error)
         finally:
             release_permit(node, held, broken=broken)
@@ -377,6 +398,7 @@
     admitted = run.admitted
 
     def on_accepted(holding_id, boot_id):
+        run.accepted_by = boot_id
         report_acceptance(node, held, upstream.name, boot_id)
         if holding_id and all(held != holding_id for _, held in holdings):
             holdings.append((upstream, holding_id))
@@ -406,6 +428,9 @@
                     break
                 if run.lifecycle_state == "sent":
                     run.step("first_token")
+                if not run.has_token:
+                    run.has_token = True
+                    note_first_token(node, run.parts)
                 await emit(Token(chunk.seq, chunk.text))
     except UpstreamConnectError:
         raise
--- /dev/null
+++ b/lycheetide/node/_quarantine.py
@@ -0,0 +1,152 @@
+"""Keep prompts that crash engines from the engines; the nodes tell each other."""
+
+from lycheetide.gossip import Life
+from lycheetide.metrics import get_logger
+from lycheetide.node._state import read_clock
+from lycheetide.outcomes import NotRunError, Reason
+from lycheetide.peers import CrashRow
+from lycheetide.quarantine import CrashSample, hash_parts
+from lycheetide.routing import make_prefix_key
+from lycheetide.upstreams import (
+    UpstreamBrokenError,
+    UpstreamConnectError,
+    UpstreamError,
+    fetch_report,
+)
+
+RETRY_AFTER_S = 60.0
+"""Nothing short of a repaired engine makes the prompt servable."""
+SHARED_S = 30.0
+"""How long a crash is told to peers: several rounds of heartbeats."""
+MAX_ROWS = 16
+"""Crashes in one reply to a heartbeat."""
+
+log = get_logger("prompt")
+
+
+def hash_prompt(customer, prompt):
+    """Return the hashes of a prompt's beginning, which others share, and of its text.
+
+    Parameters
+    ----------
+    customer : str
+        Name of the customer; customers don't share prefixes.
+    prompt : Prompt
+        The prompt.
+    """
+    prefix_key = make_prefix_key(customer, prompt.model, prompt.text)
+    return hash_parts(prompt.model, (prefix_key, f"{customer}/{prompt.text}"))
+
+
+def check_prompt(node, parts):
+    """Refuse a prompt that crashes engines.
+
+    Raises
+    ------
+    NotRunError
+        If it is in quarantine.
+    """
+    if node.quarantine.table.find(parts) is not None:
+        node.counters.add("quarantine.refused")
+        raise NotRunError(
+            Reason.QUARANTINED,
+            "the prompt has crashed engines",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+
+def note_first_token(node, parts):
+    """Record that an engine writes an answer to a prompt, which is therefore sound."""
+    now_s = read_clock()
+    state = node.quarantine
+    state.evidence.note_written(parts[:1], now_s=now_s)
+    if state.evidence.is_suspect(parts[1]):
+        state.evidence.note_written(parts[1:], now_s=now_s)
+    for part in parts:
+        state.table.clear_part(part, now_s=now_s)
+
+
+def note_broken_attempt(node, run, upstream, boot_id, error):
+    """Check whether an engine crashed as it began to write an answer.
+
+    Parameters
+    ----------
+    node : NodeState
+        This node.
+    run : PromptRun
+        The prompt, of which this attempt has received no token.
+    upstream : Upstream
+        The engine.
+    boot_id : str
+        The process that accepted the prompt.
+    error : UpstreamError
+        How the attempt ended.
+    """
+    if isinstance(error, UpstreamBrokenError) and boot_id:
+        node.tasks.start_soon(confirm_crash, node, run.parts, upstream, boot_id)
+
+
+async def confirm_crash(node, parts, upstream, boot_id):
+    """Take note of a crash if the engine's process has ended."""
+    at_s = read_clock()
+    try:
+        report = await fetch_report(node.http, upstream)
+        if report.boot_id == boot_id:
+            return
+    except UpstreamConnectError:
+        pass
+    except UpstreamError:
+        return
+    node.counters.add("quarantine.crashes")
+    prompt = int.from_bytes(parts[1][:8], "big")
+    life = Life(f"{upstream.name}/{boot_id}", 0)
+    sample = CrashSample(life, prompt, frozenset(parts), at_s, read_clock())
+    node.quarantine.evidence.note_crash(sample)
+    look_for_culprits(node)
+
+
+def look_for_culprits(node):
+    """Quarantine the parts that are found at fault."""
+    state = node.quarantine
+    now_s = read_clock()
+    culprits = state.evidence.find_culprits(
+        state.table.list_active(), objection_s=0.0, now_s=now_s
+    )
+    for parts, crashes in culprits:
+        entry = state.table.impose(parts, crashes=crashes, now_s=now_s)
+        node.counters.add("quarantine.imposed")
+        log.warning(
+            "Prompts are in quarantine.",
+            extra={"quarantine": entry.name, "crashes": crashes},
+        )
+
+
+def make_crash_rows(node, *, now_s):
+    """Return the recent crashes that peers are told."""
+    samples = node.quarantine.evidence.list_samples(since_s=now_s - SHARED_S)
+    return tuple(
+        CrashRow(
+            sample.life.replica,
+            sample.prompt,
+            tuple(sorted(sample.parts)),
+            round(1e3 * (now_s - sample.at_s)),
+        )
+        for sample in samples[-MAX_ROWS:]
+    )
+
+
+def apply_reply(node, reply, *, asked_s, now_s):
+    """Apply what a peer has replied about crashes and quarantines."""
+    state = node.quarantine
+    for row in reply.crashes:
+        at_s = asked_s - row.age_ms / 1e3
+        state.evidence.note_crash(
+            CrashSample(Life(row.process, 0), row.prompt, frozenset(row.parts), at_s,
+                        now_s)
+        )  # fmt: skip
+    for entry in reply.quarantines:
+        state.table.merge(entry, now_s=now_s)
+    if reply.crashes:
+        look_for_culprits(node)
+    state.drop_outdated(now_s=now_s)
+    state.table.expire(now_s=now_s)
--- a/lycheetide/node/_state.py
+++ b/lycheetide/node/_state.py
@@ -15,6 +15,7 @@
 from lycheetide.metrics import Counters, RequestTraces, make_statsd_client
 from lycheetide.peers import PeerClient
 from lycheetide.platformlog import GroupWriter, LogClient
+from lycheetide.quarantine import QuarantineState
 from lycheetide.routing import is_fresh
 from lycheetide.tasks import StallDetector
 from lycheetide.upstreams import make_http_client
@@ -142,6 +143,7 @@
         self.budgets = CustomerRetryBudgets()
         self.active = {}
         self.stall_detector = StallDetector()
+        self.quarantine = QuarantineState()
         self.tasks = None
         self._index = None
 
--- a/lycheetide/outcomes/_reasons.py
+++ b/lycheetide/outcomes/_reasons.py
@@ -34,6 +34,7 @@
     LOG_UNAVAILABLE = "log_unavailable"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_BROKE = "upstream_broke"
+    QUARANTINED = "quarantined"
     DEADLINE = "deadline"
     INTERNAL = "internal"
 
--- a/lycheetide/peers/_messages.py
+++ b/lycheetide/peers/_messages.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from lycheetide.membership import MemberRow, View
+from lycheetide.quarantine import QuarantineEntry
 from lycheetide.scheduling import Permit
 
 
@@ -15,6 +16,28 @@
     row: MemberRow
 
 
+@dataclass(frozen=True)
+class CrashRow:
+    """A prompt whose answer was beginning when an engine's process ended.
+
+    Parameters
+    ----------
+    process : str
+        Name of the engine and id of the process.
+    prompt : int
+        64-bit hash of the prompt.
+    parts : tuple of bytes
+        Hashes of its parts.
+    age_ms : int
+        Time since the crash.
+    """
+
+    process: str
+    prompt: int
+    parts: tuple[bytes, ...]
+    age_ms: int
+
+
 @dataclass(frozen=True)
 class PullReply:
     """Reply to a heartbeat: what the receiver knows of the members, itself first.
@@ -26,10 +49,16 @@
     view : View or None
         Latest view, if the sender of the heartbeat knows only an older one. A new host
         needs it from here during an outage of the log.
+    crashes : tuple of CrashRow
+        Recent crashes of engines.
+    quarantines : tuple of QuarantineEntry
+        Prompts that are kept from engines, or no longer.
     """
 
     rows: tuple[MemberRow, ...]
     view: View | None = None
+    crashes: tuple[CrashRow, ...] = ()
+    quarantines: tuple[QuarantineEntry, ...] = ()
 
 
 class AcquireStatus(StrEnum):
--- a/lycheetide/quarantine/_evidence.py
+++ b/lycheetide/quarantine/_evidence.py
@@ -118,6 +118,10 @@
         """Return when a request with a part last received an event; -inf for never."""
         return self._written_s.get(part, NEVER_S)
 
+    def list_samples(self, *, since_s):
+        """Return the crashes since a time, the last that were learnt of at the end."""
+        return [one for one in self._samples.values() if one.at_s >= since_s]
+
     def is_suspect(self, part):
         """Tell whether a part takes part in a remembered crash."""
         return part in self._suspect_parts
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -195,6 +195,8 @@
                 priority=body.get("priority", 0),
                 prefix_key=body.get("prefix_key"),
             )
+            if self.faults.get("crash_on", "\0") in body["prompt"]:
+                os._exit(1)
             for seq in range(first, body["max_tokens"]):
                 if holding.cancelled:
                     return
