--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -3,11 +3,11 @@
 import math
 
 from lycheetide.gossip import PEER_REPORT_AGE_S, Doubted, Suspected
+from lycheetide.relay._crash_reports import note_broken
 from lycheetide.relay._leaving import record_leaving
 from lycheetide.relay._named_limits import record_named_limit
 from lycheetide.relay._outcomes import Cause
 from lycheetide.relay._path_checks import has_lost_path, start_path_check
-from lycheetide.relay._quarantine import note_broken
 from lycheetide.relay._rests import record_rest
 from lycheetide.relay._state import read_clock
 
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -38,7 +38,7 @@
 from lycheetide.relay._memory import update_memory
 from lycheetide.relay._named_limits import merge_limits
 from lycheetide.relay._peer_state import fetch_registry
-from lycheetide.relay._quarantine import (
+from lycheetide.relay._quarantine_sync import (
     compare_quarantines,
     receive_quarantine_message,
 )
--- a/lycheetide/relay/_peer_state.py
+++ b/lycheetide/relay/_peer_state.py
@@ -6,7 +6,7 @@
 from lycheetide.exchange import RecordBatch
 from lycheetide.httpclient import ChannelConnectError, ChannelError, OutgoingRequest
 from lycheetide.relay._apply_records import apply_batch
-from lycheetide.relay._quarantine import QUARANTINE_TARGET, encode_quarantines
+from lycheetide.relay._quarantine_sync import QUARANTINE_TARGET, encode_quarantines
 from lycheetide.relay._state import read_clock
 
 PEER_POLL_S = 0.01
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -18,7 +18,7 @@
 from lycheetide.relay._messaging import PeerMessenger, discover
 from lycheetide.relay._paces import follow_paces
 from lycheetide.relay._peer_state import make_peer_app
-from lycheetide.relay._quarantine import follow_quarantines
+from lycheetide.relay._quarantine_sync import follow_quarantines
 from lycheetide.relay._refusals import watch_refusals
 from lycheetide.relay._reload import reload_settings, watch_settings
 from lycheetide.relay._state import RelayState, read_clock
--- a/lycheetide/relay/tests/test_quarantine.py
+++ b/lycheetide/relay/tests/test_quarantine.py
@@ -11,11 +11,8 @@
 from lycheetide import platform
 from lycheetide.gossip import Life
 from lycheetide.quarantine import hash_parts
-from lycheetide.relay._quarantine import (
-    announce_entries,
-    record_entries,
-    report_crash,
-)
+from lycheetide.relay._crash_reports import report_crash
+from lycheetide.relay._quarantine import announce_entries, record_entries
 from lycheetide.relay._quarantine_store import lift_quarantine, read_quarantines
 from lycheetide.relay.tests.test_cold_limits import wait_for_peers
 from standins.relay_deployment import RelayDeployment, make_config
@@ -369,7 +366,7 @@
 
 async def test_an_operator_lifts_a_quarantine_through_the_store(monkeypatch):
     """Guards against a blame that nothing but time ends."""
-    monkeypatch.setattr("lycheetide.relay._quarantine.STORE_POLL_S", 0.2)
+    monkeypatch.setattr("lycheetide.relay._quarantine_sync.STORE_POLL_S", 0.2)
     async with RelayDeployment(relays=2) as fleet:
         await wait_for_peers(fleet)
         impose(fleet.relays[0], BAD_PART)
