Blame no sound part where replicas are killed one after the other

The test that kills all replicas as traffic begins blamed a sound part in one of three runs beside load: three crashes are soon gathered by a part that no replica was left to write on. Now four crashes are needed, they must be enough of all crashes since the part's first one, and a verdict waits two seconds if half of all replicas have crashed or most prompts seem to have the part.

--- a/lycheetide/node/_prompts.py
+++ b/lycheetide/node/_prompts.py
@@ -205,7 +205,7 @@
                 broken = replicas
             if not run.has_token:
                 head = node.fleet.upstreams.get(replicas[-1])
-                note_broken_attempt(node, run, head, run.accepted_by, error)
+                await note_broken_attempt(node, run, head, run.accepted_by, error)
             _prepare_retry(node, run, replicas, error)
         finally:
             release_permit(node, held, broken=broken)
--- a/lycheetide/node/_quarantine.py
+++ b/lycheetide/node/_quarantine.py
@@ -1,5 +1,7 @@
 """Keep prompts that crash engines from the engines; the nodes tell each other."""
 
+import anyio
+
 from lycheetide.gossip import Life
 from lycheetide.metrics import get_logger
 from lycheetide.node._state import read_clock
@@ -16,6 +18,7 @@
 
 RETRY_AFTER_S = 60.0
 """Nothing short of a repaired engine makes the prompt servable."""
+CONFIRM_S = 0.3
 SHARED_S = 30.0
 """How long a crash is told to peers: several rounds of heartbeats."""
 MAX_ROWS = 16
@@ -59,16 +62,17 @@
     """Record that an engine writes an answer to a prompt, which is therefore sound."""
     now_s = read_clock()
     state = node.quarantine
-    state.evidence.note_written(parts[:1], now_s=now_s)
-    if state.evidence.is_suspect(parts[1]):
-        state.evidence.note_written(parts[1:], now_s=now_s)
+    is_suspect = state.evidence.is_suspect(parts[1])
+    state.evidence.note_written(parts if is_suspect else parts[:1], now_s=now_s)
     for part in parts:
         state.table.clear_part(part, now_s=now_s)
 
 
-def note_broken_attempt(node, run, upstream, boot_id, error):
+async def note_broken_attempt(node, run, upstream, boot_id, error):
     """Check whether an engine crashed as it began to write an answer.
 
+    The next attempt waits for that, at most ``CONFIRM_S``.
+
     Parameters
     ----------
     node : NodeState
@@ -83,7 +87,8 @@
         How the attempt ended.
     """
     if isinstance(error, UpstreamBrokenError) and boot_id:
-        node.tasks.start_soon(confirm_crash, node, run.parts, upstream, boot_id)
+        with anyio.move_on_after(CONFIRM_S):
+            await confirm_crash(node, run.parts, upstream, boot_id)
 
 
 async def confirm_crash(node, parts, upstream, boot_id):
@@ -110,7 +115,10 @@
     state = node.quarantine
     now_s = read_clock()
     culprits = state.evidence.find_culprits(
-        state.table.list_active(), objection_s=0.0, now_s=now_s
+        state.table.list_active(),
+        replicas=len(node.fleet.upstreams),
+        objection_s=0.0,
+        now_s=now_s,
     )
     for parts, crashes in culprits:
         entry = state.table.impose(parts, crashes=crashes, now_s=now_s)
--- a/lycheetide/quarantine/_evidence.py
+++ b/lycheetide/quarantine/_evidence.py
@@ -11,7 +11,7 @@
 
 from lycheetide.gossip import Life
 
-MIN_CRASHES = 3
+MIN_CRASHES = 4
 """Crashes since a part was last written on that make it a culprit."""
 MIN_PROMPTS = 2
 """Different prompts among them: one unlucky prompt proves nothing about its parts."""
@@ -22,6 +22,16 @@
 JOINT_CRASHES_S = 0.03
 """Replicas that crash within this time of each other have a cause in common, such as a
 failure of their hosts, and count as one crash."""
+MIN_WEIGHT = 2.0
+"""Crashes of a culprit, times its share of all crashes since its first one: four of
+eight, six of eighteen. Where replicas are killed one after the other, each part is in
+some of the crashes."""
+MAX_PROMPTS_PER_CRASH = 2
+"""Prompts with a part at each crash, above which the part may be in most prompts. It is
+then no culprit before ``WRITTEN_S`` since its first crash."""
+MAX_CRASHED_SHARE = 0.5
+"""Share of all replicas that have crashed since then, with the same effect: where few
+replicas are left to write, that none has written on a part proves nothing."""
 WRITTEN_S = 2.0
 """How long a part is no culprit after a request with it has received an event."""
 MAX_JOINT_PARTS = 16
@@ -168,7 +178,7 @@
             if now_s - sample.at_s > RETENTION_S:
                 self._drop(key)
 
-    def find_culprits(self, quarantined, *, objection_s, now_s):
+    def find_culprits(self, quarantined, *, replicas, objection_s, now_s):
         """Return the parts that make replicas crash, by what is known.
 
         Parameters
@@ -176,6 +186,8 @@
         quarantined : iterable of frozenset of bytes
             Sets of parts that are already known to; a crash of a prompt that contains
             such a set says nothing about its other parts.
+        replicas : int
+            Number of replicas.
         objection_s : float
             Time that other nodes have to report that a replica has written on a part.
         now_s : float
@@ -191,19 +203,23 @@
         known = list(quarantined)
         found: list[tuple[frozenset[bytes], int]] = []
         while True:
-            culprit = self._find_culprit(known, objection_s=objection_s, now_s=now_s)
+            culprit = self._find_culprit(
+                known, replicas=replicas, objection_s=objection_s, now_s=now_s
+            )
             if culprit is None:
                 return found
             found.append(culprit)
             known.append(culprit[0])
 
-    def _find_culprit(self, known, *, objection_s, now_s):
+    def _find_culprit(self, known, *, replicas, objection_s, now_s):
         """Return the set of parts with most crashes, or None if there is no culprit."""
         suspects = self._list_suspects(known)
         counts = {
             part: suspect.crashes
             for part, suspect in suspects.items()
             if suspect.is_culprit
+            and suspect.crashes**2 >= MIN_WEIGHT * self._count_since(suspect, known)
+            and now_s - suspect.first_s >= self._find_min_age_s(suspect, replicas)
             and now_s - self.last_written_s(part) >= WRITTEN_S
             and now_s - suspect.known_s >= objection_s
         }
@@ -221,6 +237,32 @@
             return frozenset(joint[:1]), counts[worst]
         return frozenset(sorted(unwritten)[:MAX_JOINT_PARTS]), counts[worst]
 
+    def _count_since(self, suspect, known):
+        """Return the number of all crashes since the first one of a suspect.
+
+        Crashes that known culprits explain count only if they count against it.
+        """
+        return count_crashes(
+            sample
+            for sample in self._samples.values()
+            if sample.at_s >= suspect.first_s
+            and (
+                sample in suspect.samples
+                or not any(parts <= sample.parts for parts in known)
+            )
+        )
+
+    def _find_min_age_s(self, suspect, replicas):
+        """Return the time since its first crash before which a part is no culprit."""
+        crashed = {
+            sample.life
+            for sample in self._samples.values()
+            if sample.at_s >= suspect.first_s
+        }
+        is_common = len(suspect.samples) > MAX_PROMPTS_PER_CRASH * suspect.crashes
+        is_collapse = len(crashed) >= MAX_CRASHED_SHARE * replicas
+        return WRITTEN_S if is_common or is_collapse else 0.0
+
     def _list_suspects(self, known):
         """Return what speaks against each part, by part."""
         samples: dict[bytes, list[CrashSample]] = defaultdict(list)
@@ -266,6 +308,11 @@
     is_culprit: bool
     known_s: float
 
+    @property
+    def first_s(self):
+        """Time of the first crash."""
+        return min(sample.at_s for sample in self.samples)
+
     @classmethod
     def make(cls, samples, fresh, *, is_joined, min_crashes):
         """Weigh the crashes of one part.
--- a/lycheetide/relay/_crash_reports.py
+++ b/lycheetide/relay/_crash_reports.py
@@ -208,6 +208,7 @@
     state = relay.quarantine
     culprits = state.evidence.find_culprits(
         state.table.list_active(),
+        replicas=len(relay.replicas.replicas),
         objection_s=find_objection_s(relay) + PROPAGATION_MARGIN_S,
         now_s=now_s,
     )
--- a/standins/http.py
+++ b/standins/http.py
@@ -14,6 +14,7 @@
 
 LOOPBACK = "127.0.0.1"
 SLOW_RECEIVE_BYTES = 4_096
+SHUT_DOWN_S = 0.5
 LINGER_RESET = struct.pack("ii", 1, 0)
 """SO_LINGER with a timeout of 0: closing the socket resets the connection."""
 REASON_PHRASES = {200: "OK", 410: "Gone", 421: "Misdirected", 500: "Error", 503: "Busy"}
@@ -73,22 +74,31 @@
 
     ``serve`` is called with the stream of each connection.
     """
-    listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+    multi = await anyio.create_tcp_listener(local_host=LOOPBACK)
+    (listener,) = multi.listeners
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    ended = anyio.Event()
     async with anyio.create_task_group() as group:
-        group.start_soon(_accept_until_closed, listener, serve)
+        group.start_soon(_accept_until_shut_down, listener, serve, group, ended)
         yield f"{LOOPBACK}:{port}"
-        # Cancelling it while a connection arrives would fail inside the event loop.
-        await listener.aclose()
+        # Cancelling the task while a connection arrives, or closing the socket before
+        # the task has ended, would fail inside the event loop.
+        raw = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.shutdown(socket.SHUT_RDWR)
+        with anyio.move_on_after(SHUT_DOWN_S, shield=True):
+            await ended.wait()
         group.cancel_scope.cancel()
+    await listener.aclose()
 
 
-async def _accept_until_closed(listener, serve):
-    """Serve each connection of a listener until it is closed."""
+async def _accept_until_shut_down(listener, serve, group, ended):
+    """Serve each connection of a listener until its socket is shut down."""
     try:
-        await listener.serve(serve)
-    except* anyio.ClosedResourceError:
-        pass
+        while True:
+            stream = await listener.accept()
+            group.start_soon(serve, stream)
+    except OSError:
+        ended.set()
 
 
 class HttpServer:
