--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -4,10 +4,12 @@
 
 import pytest
 
-from soak.callers import Attempt
+from lycheetide.quarantine import hash_part
+from soak.callers import BAD_PART, Attempt
 from soak.checks import STREAM_EVENTS, RunRecord, check_cut_nodes, find_violations
 from soak.demands import Demand, Turned
-from soak.faults import Disturbance, LinkCut
+from soak.faults import Burst, Disturbance, LinkCut
+from soak.quarantines import CONTACT_S, CRASHES, MAX_LATE_REQUESTS
 from soak.replicas import RecordingReplica
 from soak.schedule import SILENCE_RANGE_S, generate_faults, generate_silences
 from standins.replica import RESPONSE_SEAL
@@ -31,7 +33,9 @@
     return Attempt(**(whole | fields))
 
 
-def make_record(*attempts, replica=None, replicas=(), own_exits=(), **fault_lists):
+def make_record(
+    *attempts, replica=None, replicas=(), own_exits=(), quarantined=(), **fault_lists
+):
     faults = SimpleNamespace(
         disturbances=[],
         drained=[],
@@ -40,12 +44,16 @@
         limits=[],
         left=[],
         cuts=[],
+        bursts=[],
         starts=[],
     )
     for name, value in fault_lists.items():
         setattr(faults, name, value)
     replicas = list(replicas) or [replica or RecordingReplica("r-0")]
-    return RunRecord(list(attempts), replicas, faults, list(own_exits), calm_s=100.0)
+    return RunRecord(
+        list(attempts), replicas, faults, list(own_exits), calm_s=100.0,
+        quarantined=list(quarantined),
+    )  # fmt: skip
 
 
 def find_rules(record):
@@ -416,3 +424,34 @@
     }
     lines = check_cut_nodes(make_record(*attempts, **(fields | fault_lists)))
     assert bool(list(lines)) == is_reported
+
+
+@pytest.mark.parametrize("late", [MAX_LATE_REQUESTS, MAX_LATE_REQUESTS + 1])
+def test_requests_with_a_part_that_crashes_replicas_are_counted(late):
+    """Guards against a soak that lets a part crash replica after replica."""
+    since_s = 10.0 + CONTACT_S
+    names = [f"a{number}" for number in range(late)]
+    replica = make_replica(*((since_s + 1.0, name) for name in names))
+    replica.crash_times = [10.0] * CRASHES
+    attempts = [make_attempt("bad", id=name, status=0) for name in names]
+    rules = find_rules(make_record(*attempts, replica=replica))
+    assert rules == ({"BUDGET"} if late > MAX_LATE_REQUESTS else set())
+
+
+def test_sound_parts_in_quarantine_are_reported():
+    bad, sound = hash_part("models", BAD_PART), hash_part("models", "sound")
+    assert find_rules(make_record(quarantined=[frozenset([bad, sound])])) == set()
+    assert find_rules(make_record(quarantined=[frozenset([sound])])) == {"BLAMED"}
+
+
+@pytest.mark.parametrize(("failed", "rules"), [(6, set()), (8, {"RECOVER"})])
+def test_a_node_must_serve_what_it_reads_in_a_burst(failed, rules):
+    """Guards against a soak that ignores losses at the node with most connections."""
+    attempts = [make_attempt(started_s=9.0, ended_s=9.1) for _ in range(25)]
+    attempts += [
+        make_attempt(started_s=14.0, ended_s=14.1, status=200 if n >= failed else 504)
+        for n in range(25)
+    ]
+    bursts = [Burst("entry-0", 10.0, 16.0)]
+    found = find_rules(make_record(*attempts, bursts=bursts))
+    assert found & {"RECOVER"} == rules
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -48,6 +48,16 @@
     anyio.run(lambda: check(4202, count=3, link_cuts=LINK_CUT_COUNT + 1))
 
 
+def test_short_run_with_a_part_that_crashes_replicas_has_no_violations():
+    """A part crashes replicas, and most connections go to one node, beside faults.
+
+    Guards against a crash that is carried on, sound parts that are blamed, and answers
+    that look whole because they end with their connection.
+    """
+    options = {"seconds": 5.0, "count": 4, "bursts": 1, "has_bad_part": True}
+    anyio.run(lambda: check(9002, **options))
+
+
 def test_short_run_with_demands_of_replicas_has_no_violations():
     """Replicas name limits, ask for rest and leave, beside kills and restarts."""
     anyio.run(lambda: check(39, seconds=5.0, count=5, demands=DEMAND_COUNT))
