Lift a quarantine by one piece of code, and read the store once for it

The table and the store each built the entry that lifts another, and the command line listed the store, matched the name, and let lift_quarantine list it again. No change of behaviour for a name or its beginning. Linter, types and the tests of quarantines, of the command line and of the relay's quarantines pass; the whole script didn't run.

--- a/lycheetide/cli/_quarantines.py
+++ b/lycheetide/cli/_quarantines.py
@@ -27,17 +27,11 @@
     topic = platform.QUARANTINE_TOPIC
     store = platform.StoreClient(address)
     try:
+        if prefix:
+            lifted = await lift_quarantine(store, topic, prefix)
+            return [] if lifted is None else [lifted]
         entries, _ = await read_quarantines(store, topic)
-        if not prefix:
-            return entries
-        names = [
-            entry.name
-            for entry in entries
-            if entry.name.startswith(prefix) and not entry.is_lifted
-        ]
-        if len(names) != 1:
-            return []
-        return [await lift_quarantine(store, topic, names[0])]
+        return entries
     finally:
         await store.aclose()
 
--- a/lycheetide/quarantine/_table.py
+++ b/lycheetide/quarantine/_table.py
@@ -52,6 +52,10 @@
         """The sort key of the entries of one set of parts."""
         return self.version, self.is_lifted
 
+    def make_lifted(self):
+        """Return the entry that lifts this one."""
+        return msgspec.structs.replace(self, version=self.version + 1, is_lifted=True)
+
 
 class QuarantineTable:
     """The quarantines that a node knows."""
@@ -110,9 +114,7 @@
         known = self._entries.get(frozenset(parts))
         if known is None or known.is_lifted:
             return None
-        entry = msgspec.structs.replace(
-            known, version=known.version + 1, is_lifted=True
-        )
+        entry = known.make_lifted()
         self.merge(entry, now_s=now_s)
         return entry
 
--- a/lycheetide/relay/_quarantine_store.py
+++ b/lycheetide/relay/_quarantine_store.py
@@ -61,22 +61,29 @@
     await store.append(topic, name, b"", timeout_s=TIMEOUT_S)
 
 
-async def lift_quarantine(store, topic, name):
-    """Lift a quarantine by its name; return the lifted entry, None if there is none.
+async def lift_quarantine(store, topic, prefix):
+    """Lift the quarantine whose name begins with a prefix.
 
     The nodes read the change within seconds.
 
+    Returns
+    -------
+    QuarantineEntry or None
+        The lifted entry; None if no quarantine, or more than one, begins so.
+
     Raises
     ------
     StoreUnavailable
         If the store doesn't answer.
     """
     entries, _ = await read_quarantines(store, topic)
-    for entry in entries:
-        if entry.name == name and not entry.is_lifted:
-            lifted = msgspec.structs.replace(
-                entry, version=entry.version + 1, is_lifted=True
-            )
-            await write_quarantine(store, topic, lifted)
-            return lifted
-    return None
+    found = [
+        entry
+        for entry in entries
+        if entry.name.startswith(prefix) and not entry.is_lifted
+    ]
+    if len(found) != 1:
+        return None
+    lifted = found[0].make_lifted()
+    await write_quarantine(store, topic, lifted)
+    return lifted
