--- a/review/harness.py
+++ b/review/harness.py
@@ -369,6 +369,8 @@
     folder : Path
         Folder of the case.
     """
+    # Ends the nodes as well, if the case itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder / "record.txt")
     breaches = None
     try:
