Log and count the prompts that had an event when their replica crashed

The line of a checked replica said how many prompts were beginning, and nothing about those that had received events; an objection left no trace. So a crash that is never reported couldn't be told from one that is cleared later.

The line gets `written`; the counters quarantine.written, quarantine.cleared and quarantine.objections are new. No logic changes.

--- a/lycheetide/quarantine/_state.py
+++ b/lycheetide/quarantine/_state.py
@@ -24,10 +24,13 @@
         Prompts whose answers were beginning: the hash of each and its parts.
     requests : list of BrokenRequest
         All requests that it broke off.
+    written : int
+        Number of prompts among them that had received an event.
     """
 
     begun: list[tuple[int, tuple[bytes, ...]]] = field(default_factory=list)
     requests: list[BrokenRequest] = field(default_factory=list)
+    written: int = 0
 
 
 class QuarantineState:
--- a/lycheetide/relay/_crash_reports.py
+++ b/lycheetide/relay/_crash_reports.py
@@ -81,6 +81,7 @@
     if life not in state.checks:
         state.checks[life] = CrashCheck()
         relay.tasks.start_soon(confirm_crash, relay, life, known.entry.address, via)
+    state.checks[life].written += bool(call.parts and events)
     state.checks[life].begun.extend(begun)
     state.checks[life].requests.append(row)
 
@@ -107,6 +108,7 @@
             "replica": life.replica,
             "is_crashed": is_crashed,
             "prompts": len(check.begun),
+            "written": check.written,
             "requests": len(check.requests),
             "took_ms": round(1e3 * (read_clock() - broken_s)),
         },
@@ -114,6 +116,7 @@
     if is_crashed:
         report_crash(relay, life, state.crashed_s.get(life, broken_s), check)
         relay.counters.add("quarantine.crashes")
+        relay.counters.add("quarantine.written", check.written)
     else:
         state.requests.note_alive(life)
         message = make_report(relay, life, broken_s, is_alive=True)
@@ -255,6 +258,7 @@
     for part, age_ms in message.parts:
         written_s = now_s - max(0, age_ms) / 1e3
         if written_s > state.evidence.last_written_s(part):
+            relay.counters.add("quarantine.objections")
             state.evidence.note_written([part], now_s=written_s)
         state.announced_s[part] = max(written_s, state.announced_s.get(part, written_s))
         state.requests.forget(part)
--- a/lycheetide/relay/_quarantine.py
+++ b/lycheetide/relay/_quarantine.py
@@ -150,6 +150,8 @@
     now_s = read_clock()
     *shared, own = call.parts
     parts = [*shared, own] if state.evidence.is_suspect(own) else shared
+    cleared = sum(state.evidence.is_suspect(part) for part in parts)
+    relay.counters.add("quarantine.cleared", cleared)
     state.evidence.note_written(parts, now_s=now_s)
     if not len(state.table):
         return
