Find a part that crashes replicas at any moment of an answer

Cause: an event was taken for a proof. A prompt that had received one wasn't reported when its replica crashed (note_broken), and its event cleared its parts of all crashes before, at each node (note_written).

Change: a crash now accuses all prompts that were at hand, also those with events and those whose answers had just ended. A part is blamed for where it was present: the log-likelihood ratio of its crashes, given the share of replicas that had it at hand, twice: among prompts that had just begun or ended, and among all. An answer that its replica survived clears its parts, not an event; that is revoked if the replica turns out to have crashed. Calls that have begun are cancelled by a verdict unless they have outlived all that crashed, and a quarantine is lifted by a survived answer alone. Replicas that end with nobody at hand are noticed by a refused connection or the registry. Messages only gain fields at their end, which older nodes skip.

Why it works: whether a replica has begun to write says nothing of what it does next; that every crash has the part at hand and hardly any other replica does is what a part at fault can't avoid.

--- a/lycheetide/gossip/_messages.py
+++ b/lycheetide/gossip/_messages.py
@@ -232,6 +232,27 @@
     left_ms: int = 0
 
 
+class PresentRow(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt that a replica had at hand when it crashed.
+
+    Parameters
+    ----------
+    prompt : int
+        64-bit hash of its own last part.
+    parts : tuple of bytes
+        Hashes of its parts, or of some of them where they don't fit one message.
+    age_ms : int
+        Time from the first event of its answer to the crash; below 0 if there was none.
+    is_ended : bool
+        Whether the answer had just ended.
+    """
+
+    prompt: int
+    parts: tuple[bytes, ...]
+    age_ms: int = -1
+    is_ended: bool = False
+
+
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="k"):
     """A replica has crashed, or may have crashed, while it worked on some requests.
 
@@ -253,6 +274,15 @@
         Whether it has certainly crashed.
     is_alive : bool
         Whether it has answered since, so that it hasn't crashed.
+    present : tuple of PresentRow
+        All prompts that it had at hand, whatever the moment of their answers.
+    survived : tuple of (bytes, int, str, int)
+        Hashes of parts that were present at the crash, and of which other replicas have
+        survived whole answers: time since the last one, its replica and the start of
+        that, in milliseconds.
+    elsewhere : tuple of (bytes, tuple of int, tuple of int)
+        Such parts, with the hashes of the other replicas that had a prompt with them at
+        hand: one that had just begun or ended, or any other.
     """
 
     node: str
@@ -263,6 +293,9 @@
     requests: tuple[BrokenRequest, ...] = ()
     is_confirmed: bool = True
     is_alive: bool = False
+    present: tuple[PresentRow, ...] = ()
+    survived: tuple[tuple[bytes, int, str, int], ...] = ()
+    elsewhere: tuple[tuple[bytes, tuple[int, ...], tuple[int, ...]], ...] = ()
 
 
 class PartsWritten(msgspec.Struct, frozen=True, array_like=True, tag="p"):
--- a/lycheetide/quarantine/__init__.py
+++ b/lycheetide/quarantine/__init__.py
@@ -1,11 +1,12 @@
 """Keep requests that crash replicas from the replicas.
 
-A replica may crash whenever it works on a certain request, or begins to write an answer
-to a prompt with a certain part. Each repetition, by a node or by its caller at another
-node, then costs one more replica. The nodes report to each other which requests a
-replica broke off when it crashed (``RequestEvidence``), which prompts were beginning,
-and on which parts replicas have written (``CrashEvidence``). The requests and the parts
-that are found at fault are refused by all nodes (``QuarantineTable``).
+A replica may crash whenever it works on a certain request, or writes an answer to a
+prompt with a certain part. Each repetition, by a node or by its caller at another node,
+then costs one more replica. The nodes report to each other which requests a replica
+broke off when it crashed (``RequestEvidence``), which prompts were beginning and on
+which parts replicas have written (``CrashEvidence``), and which prompts were at hand at
+any moment of their answers (``PresenceEvidence``). The requests and the parts that are
+found at fault are refused by all nodes (``QuarantineTable``).
 """
 
 from lycheetide.quarantine._evidence import CrashEvidence, CrashSample
@@ -15,6 +16,12 @@
     make_fingerprint,
 )
 from lycheetide.quarantine._parts import hash_part, hash_parts, name_quarantine
+from lycheetide.quarantine._presence import (
+    AFTERMATH_S,
+    FRESH_S,
+    PresenceEvidence,
+    PresentPrompt,
+)
 from lycheetide.quarantine._requests import (
     PENDING_S,
     Break,
@@ -31,12 +38,16 @@
 )
 
 __all__ = [
+    "AFTERMATH_S",
+    "FRESH_S",
     "HEAD_BYTES",
     "PENDING_S",
     "Break",
     "CrashCheck",
     "CrashEvidence",
     "CrashSample",
+    "PresenceEvidence",
+    "PresentPrompt",
     "QuarantineEntry",
     "QuarantineState",
     "QuarantineTable",
--- a/lycheetide/quarantine/_state.py
+++ b/lycheetide/quarantine/_state.py
@@ -5,6 +5,7 @@
 
 from lycheetide.gossip import BrokenRequest, Life
 from lycheetide.quarantine._evidence import CrashEvidence
+from lycheetide.quarantine._presence import PresenceEvidence
 from lycheetide.quarantine._requests import RequestEvidence
 from lycheetide.quarantine._table import QuarantineTable
 
@@ -40,6 +41,8 @@
     ----------
     evidence : CrashEvidence
         Crashes, and parts that replicas have written on.
+    presence : PresenceEvidence
+        Crashes with all prompts that were at hand, and answers that were survived.
     requests : RequestEvidence
         Replicas that broke off requests.
     table : QuarantineTable
@@ -55,6 +58,10 @@
         Starts of replicas that may have crashed, with what they broke off.
     crashed_s : dict of Life to float
         When starts of replicas crashed.
+    present : dict of Life to list of Presence
+        Prompts that this node has, or had a moment ago, at each replica.
+    told_survived_s : dict of bytes to float
+        Latest survived answer of a part that all nodes have been told.
     announced_s : dict of bytes to float
         Latest time at which a part was written on that all nodes have been told.
     stored : dict of str to tuple
@@ -67,6 +74,7 @@
 
     def __init__(self):
         self.evidence = CrashEvidence()
+        self.presence = PresenceEvidence()
         self.requests = RequestEvidence()
         self.table = QuarantineTable()
         self.running: dict[int, tuple[Any, Any]] = {}
@@ -74,6 +82,8 @@
         self.failures = 0
         self.checks: dict[Life, CrashCheck] = {}
         self.crashed_s: dict[Life, float] = {}
+        self.present: dict[Life, list[Any]] = {}
+        self.told_survived_s: dict[bytes, float] = {}
         self.announced_s: dict[bytes, float] = {}
         self.stored: dict[str, tuple[int, bool]] = {}
         self.missing_since_s: float | None = None
@@ -113,7 +123,9 @@
         """Forget crashes that are long past, and news that all nodes have."""
         drop_older(self.crashed_s, now_s - CRASH_RETENTION_S)
         drop_older(self.announced_s, now_s - CRASH_RETENTION_S)
+        drop_older(self.told_survived_s, now_s - CRASH_RETENTION_S)
         self.evidence.drop_outdated(now_s=now_s)
+        self.presence.drop_outdated(now_s=now_s)
         self.requests.drop_outdated(now_s=now_s)
 
 
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -18,6 +18,7 @@
 from lycheetide.relay._evidence import record_response, record_unreached
 from lycheetide.relay._named_limits import may_still_send
 from lycheetide.relay._outcomes import AttemptFailed, Cause
+from lycheetide.relay._presence import note_sent, present
 from lycheetide.relay._quarantine import (
     is_quarantined,
     is_unsettled,
@@ -160,27 +161,29 @@
     )
     if relay.activation.held_limit_bytes > 0:
         outgoing = replace(outgoing, joins_body=False)
-    channel, head, sent_s = await exchange_head(
-        relay, call, first, outgoing, head_timeout_s=head_timeout_s, more=more
-    )
-    whole = False
-    try:
-        answer = relay.adapter.decode_answer(head)
-        if answer.attempt_id != call.request.attempt_id:
-            # A late answer to some earlier request, of which the time isn't known.
-            sent_s = float("-inf")
-        if not channel.via:
-            relay.paths.note_received(entry.address, now_s=read_clock())
-        record_response(relay, entry, answer, sent_s=sent_s)
-        check_answer(call, answer)
-        attempt = Attempt(channel, answer, placement)
-        yield attempt
-        whole = channel.is_reusable and not _closes_connection(answer)
-    finally:
-        if whole:
-            await return_channel(relay, call, channel)
-        else:
-            await channel.aclose()
+    is_resumed = bool(resume_after or call.request.resume_after)
+    with present(relay, call, entry, is_resumed=is_resumed):
+        channel, head, sent_s = await exchange_head(
+            relay, call, first, outgoing, head_timeout_s=head_timeout_s, more=more
+        )
+        whole = False
+        try:
+            answer = relay.adapter.decode_answer(head)
+            if answer.attempt_id != call.request.attempt_id:
+                # A late answer to some earlier request, of which the time isn't known.
+                sent_s = float("-inf")
+            if not channel.via:
+                relay.paths.note_received(entry.address, now_s=read_clock())
+            record_response(relay, entry, answer, sent_s=sent_s)
+            check_answer(call, answer)
+            attempt = Attempt(channel, answer, placement)
+            yield attempt
+            whole = channel.is_reusable and not _closes_connection(answer)
+        finally:
+            if whole:
+                await return_channel(relay, call, channel)
+            else:
+                await channel.aclose()
 
 
 async def return_channel(relay, call, channel):
@@ -245,6 +248,7 @@
         try:
             now_s = read_clock()
             relay.record_sent(first.id, now_s=now_s)
+            note_sent(call, first.id)
             if now_s - announced_s > LATE_SEND_S:
                 announce_late_send(relay, first.id, now_s=now_s)
             announced_s = float("-inf")
--- a/lycheetide/relay/_buffered.py
+++ b/lycheetide/relay/_buffered.py
@@ -162,6 +162,6 @@
         await check_end(relay, attempt)
         if attempt.answer.status < MIN_SERVER_ERROR_STATUS:
             note_written(relay, call)
-            note_answered(relay, call)
+            note_answered(relay, call, placement.first.id)
             record_answer(relay, call, placement, sent_s=sent_s, now_s=read_clock())
         return attempt.answer, body
--- a/lycheetide/relay/_call.py
+++ b/lycheetide/relay/_call.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
 from lycheetide.exchange import CallerRequest
 from lycheetide.placement import RequestSize
@@ -72,6 +73,8 @@
         Hashes of the parts of its prompt, its own one last; empty for no prompt.
     is_written : bool
         Whether a replica has begun to write an answer to it.
+    presences : dict of str to Presence
+        Its latest attempt at each replica, if it is a prompt with parts.
     is_quarantined : bool
         Whether it was cancelled because its prompt crashes replicas.
     head_hash : bytes
@@ -103,6 +106,7 @@
     queue_place: tuple[int, float] | None = None
     parts: tuple[bytes, ...] = ()
     is_written: bool = False
+    presences: dict[str, Any] = field(default_factory=dict)
     is_quarantined: bool = False
     head_hash: bytes = b""
     fingerprint: bytes = b""
--- a/lycheetide/relay/_crash_reports.py
+++ b/lycheetide/relay/_crash_reports.py
@@ -10,23 +10,33 @@
     PartsWritten,
     hash_name,
 )
-from lycheetide.quarantine import CrashCheck, CrashSample, Verdict, make_break
-from lycheetide.relay._crash_checks import has_crashed
+from lycheetide.quarantine import (
+    AFTERMATH_S,
+    CrashCheck,
+    CrashSample,
+    Verdict,
+    make_break,
+)
+from lycheetide.relay._crash_checks import has_crashed, has_left, has_successor
 from lycheetide.relay._fingerprints import find_fingerprint
 from lycheetide.relay._outcomes import Cause
+from lycheetide.relay._presence import (
+    find_objection_s,
+    list_accused,
+    read_presence_rows,
+    receive_answers,
+    receive_present,
+    report_present,
+)
 from lycheetide.relay._quarantine import announce_entries, record_entries
 from lycheetide.relay._state import make_life, read_clock, read_unix_ms
 
-MIN_OBJECTION_S = 0.05
-"""Shortest time that the nodes have to object to a suspicion."""
-OBJECTION_S_PER_NODE = 0.002
-"""The same for each node of a larger fleet: few of those who know better then answer
-before they hear of another's objection."""
-MAX_OBJECTION_S = 0.5
 PROPAGATION_MARGIN_S = 0.05
 KNOWN_TO_PEERS_S = 1.0
 """An objection isn't repeated if the last one is at most this much older."""
 MAX_PARTS_PER_MESSAGE = 48
+MIN_SUPPORT = 2.0
+"""Log-likelihood ratio of a part that has crashed replicas before any event."""
 DEFAULT_PATIENCE_S = 30.0
 """How long a caller may try again that doesn't say how long it waits."""
 
@@ -123,6 +133,38 @@
         relay.broadcast_work(message)
 
 
+def check_unproven(relay, replica, via):
+    """Check a replica that can't be reached if it may have crashed after an answer."""
+    known = relay.replicas.replicas.get(replica)
+    if known is None or known.entry.is_draining:
+        return
+    life = make_life(known.entry)
+    state = relay.quarantine
+    if life in state.checks or life in state.crashed_s:
+        return
+    if list_accused(relay, life, at_s=read_clock()):
+        state.checks[life] = CrashCheck()
+        relay.tasks.start_soon(confirm_crash, relay, life, known.entry.address, via)
+
+
+def look_for_ended(relay):
+    """Report the replicas that have ended with nobody at hand to notice it."""
+    state = relay.quarantine
+    for life, presences in list(state.present.items()):
+        if life in state.checks or life in state.crashed_s:
+            continue
+        sent = [one for one in presences if one.sent_s is not None]
+        if not sent:
+            continue
+        last_s = max(one.ended_s or one.sent_s for one in sent)
+        is_gone = has_successor(relay, life, sent[-1].address)
+        if (is_gone or has_left(relay, life, last_s)) and list_accused(
+            relay, life, at_s=last_s + AFTERMATH_S
+        ):
+            relay.counters.add("quarantine.crashes")
+            report_crash(relay, life, last_s + AFTERMATH_S, CrashCheck())
+
+
 def make_report(
     relay, life, at_s, *, prompts=(), requests=(), is_confirmed=False, is_alive=False
 ):
@@ -158,6 +200,8 @@
             reports.append(
                 make_report(relay, life, at_s, prompts=(begun,), is_confirmed=True)
             )
+    if not reports:
+        reports.append(make_report(relay, life, at_s, is_confirmed=True))
     for report in reports:
         relay.broadcast_work(report)
         receive_crash_report(relay, report, now_s=read_clock())
@@ -173,6 +217,7 @@
         return
     for row in report.requests:
         state.requests.note_break(row.request, life, make_break(row, at_s=at_s))
+    receive_answers(relay, report, now_s=now_s)
     if not report.is_confirmed and life not in state.crashed_s:
         return
     state.crashed_s.setdefault(life, at_s)
@@ -184,7 +229,11 @@
         known = [part for part in begun.parts if may_object(state, part)]
         if known:
             relay.tasks.start_soon(object_later, relay, known)
-    if report.prompts:
+    if report.present:
+        prompts = read_presence_rows(report.present)
+        receive_present(relay, life, prompts, at_s=at_s, now_s=now_s)
+    report_present(relay, life, at_s=state.crashed_s[life], now_s=now_s)
+    if report.prompts or report.present:
         look_for_culprits(relay, now_s=now_s)
 
 
@@ -246,12 +295,6 @@
         relay.broadcast_work(PartsWritten(relay.node, some))
 
 
-def find_objection_s(relay):
-    """Return the longest delay of an objection, in seconds."""
-    nodes = len(relay.list_alive_nodes(now_s=read_clock()))
-    return min(MAX_OBJECTION_S, max(MIN_OBJECTION_S, OBJECTION_S_PER_NODE * nodes))
-
-
 def receive_written_parts(relay, message, *, now_s):
     """Record that another node has received answers to prompts with some parts."""
     state = relay.quarantine
@@ -267,12 +310,19 @@
 def look_for_culprits(relay, *, now_s):
     """Quarantine the parts that are found at fault."""
     state = relay.quarantine
+    objection_s = find_objection_s(relay) + PROPAGATION_MARGIN_S
+    explained = state.requests.list_explained()
     culprits = state.evidence.find_culprits(
         state.table.list_active(),
         replicas=len(relay.replicas.replicas),
-        objection_s=find_objection_s(relay) + PROPAGATION_MARGIN_S,
+        objection_s=objection_s,
         now_s=now_s,
-        explained=state.requests.list_explained(),
+        explained=explained,
+    )
+    culprits = [row for row in culprits if is_supported(state, row[0], now_s=now_s)]
+    known = [*state.table.list_active(), *(parts for parts, _ in culprits)]
+    culprits += state.presence.find_culprits(
+        known, objection_s=objection_s, now_s=now_s, explained=explained
     )
     entries = [
         state.table.impose(parts, crashes=crashes, now_s=now_s)
@@ -281,3 +331,12 @@
     if entries:
         record_entries(relay, entries, why="replicas crash on it")
         announce_entries(relay, entries)
+
+
+def is_supported(state, parts, *, now_s):
+    """Tell whether parts are present at crashes more often than elsewhere.
+
+    Where hardly any replica is left, each part is at all that crash.
+    """
+    crashes = [state.presence.weigh(part, now_s=now_s) for part in parts]
+    return max(crashes) >= MIN_SUPPORT or not len(state.presence)
--- a/lycheetide/relay/_evidence.py
+++ b/lycheetide/relay/_evidence.py
@@ -3,7 +3,7 @@
 import math
 
 from lycheetide.gossip import PEER_REPORT_AGE_S, Doubted, Suspected
-from lycheetide.relay._crash_reports import note_broken
+from lycheetide.relay._crash_reports import check_unproven, note_broken
 from lycheetide.relay._fingerprints import find_fingerprint
 from lycheetide.relay._leaving import record_leaving
 from lycheetide.relay._named_limits import record_named_limit
@@ -64,6 +64,7 @@
         suspect(relay, replica, "no connection")
     else:
         suspect_here(relay, replica, "no connection")
+    check_unproven(relay, replica, "")
 
 
 def doubt(relay, replica, via):
--- a/lycheetide/relay/_quarantine.py
+++ b/lycheetide/relay/_quarantine.py
@@ -5,9 +5,10 @@
 import anyio
 
 from lycheetide.gossip import PartsWritten, Quarantined
-from lycheetide.quarantine import Verdict
+from lycheetide.quarantine import AFTERMATH_S, Verdict
 from lycheetide.relay._fingerprints import find_fingerprint, find_head_prefix
 from lycheetide.relay._outcomes import Cause, Refusal
+from lycheetide.relay._presence import note_survived
 from lycheetide.relay._state import read_clock
 
 RETRY_DELAY_S = 60.0
@@ -132,15 +133,27 @@
 def cancel_quarantined(relay):
     """Cancel the running calls that are in quarantine.
 
-    A replica that is still reading such a prompt stops before it begins to write. A
-    call that has received an event at any replica isn't cancelled: its parts are sound.
+    A replica that is still reading such a prompt stops before it begins to write. One
+    that has begun may crash at any event: the call ends, rather than the answers of all
+    other callers there. A call that has gone on for longer than any at which a replica
+    crashed is left to end, and lifts the quarantine if its answer is whole.
     """
+    now_s = read_clock()
     for call, scope in list(relay.quarantine.running.values()):
-        if not call.is_written and is_quarantined(relay, call):
+        if is_quarantined(relay, call) and not has_outlived(relay, call, now_s=now_s):
             call.is_quarantined = True
             scope.cancel()
 
 
+def has_outlived(relay, call, *, now_s):
+    """Tell whether a call's answer has gone on for longer than any that crashed."""
+    entry = relay.quarantine.table.find(call.parts)
+    begun = [one.begun_s for one in call.presences.values() if one.is_writing]
+    if entry is None or not begun:
+        return False
+    return now_s - min(begun) > relay.quarantine.presence.find_longest_s(entry.parts)
+
+
 def note_written(relay, call):
     """Record that a replica has begun to write an answer to a call."""
     if not call.parts:
@@ -153,23 +166,18 @@
     cleared = sum(state.evidence.is_suspect(part) for part in parts)
     relay.counters.add("quarantine.cleared", cleared)
     state.evidence.note_written(parts, now_s=now_s)
-    if not len(state.table):
-        return
-    changed = [
-        entry
-        for part in call.parts
-        for entry in state.table.clear_part(part, now_s=now_s)
-    ]
-    if changed:
-        record_entries(relay, changed, why="a replica has written on it")
-        announce_entries(relay, changed)
 
 
-def note_answered(relay, call):
+def note_answered(relay, call, replica):
     """Record that a replica has answered a call whole: it may be sent again.
 
-    An event alone proves nothing of a request, which may crash each replica later.
+    An event alone proves nothing, neither of a request nor of the parts of a prompt:
+    the replica may crash later.
     """
+    note_survived(relay, call, replica)
+    active = relay.quarantine.table.list_active()
+    if any(not parts.isdisjoint(call.parts) for parts in active):
+        relay.tasks.start_soon(clear_later, relay, call, replica)
     if not is_suspect(relay, call):
         return
     request = find_fingerprint(relay, call)
@@ -181,6 +189,26 @@
         announce_entries(relay, [lifted])
 
 
+async def clear_later(relay, call, replica):
+    """Lift the quarantine of parts once a replica has survived an answer to them."""
+    presence = call.presences[replica]
+    if presence.is_resumed:
+        return
+    await anyio.sleep(AFTERMATH_S)
+    state = relay.quarantine
+    if presence.life in state.crashed_s or presence.life in state.checks:
+        return
+    now_s = read_clock()
+    changed = [
+        entry
+        for part in call.parts
+        for entry in state.table.clear_part(part, now_s=now_s)
+    ]
+    if changed:
+        record_entries(relay, changed, why="a replica has survived an answer")
+        announce_entries(relay, changed)
+
+
 def announce_entries(relay, entries):
     """Tell all nodes of quarantines."""
     for entry in entries:
--- a/lycheetide/relay/_quarantine_sync.py
+++ b/lycheetide/relay/_quarantine_sync.py
@@ -10,9 +10,11 @@
 from lycheetide.relay._crash_checks import clear_living
 from lycheetide.relay._crash_reports import (
     look_for_culprits,
+    look_for_ended,
     receive_crash_report,
     receive_written_parts,
 )
+from lycheetide.relay._presence import drop_present
 from lycheetide.relay._quarantine import announce_entries, record_entries
 from lycheetide.relay._quarantine_store import (
     delete_quarantine,
@@ -149,10 +151,14 @@
 def refresh_quarantines(relay, *, now_s):
     """Look for culprits while there is news, and let old state expire."""
     state = relay.quarantine
-    if state.evidence.is_settling(now_s=now_s):
+    if state.evidence.is_settling(now_s=now_s) or state.presence.is_settling(
+        now_s=now_s
+    ):
         look_for_culprits(relay, now_s=now_s)
     clear_living(relay)
+    look_for_ended(relay)
     state.drop_outdated(now_s=now_s)
+    drop_present(relay, now_s=now_s)
     state.table.drop_ended(unix_ms=read_unix_ms())
     lifted = state.table.expire(now_s=now_s)
     if lifted:
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -22,6 +22,7 @@
 from lycheetide.relay._evidence import record_failed_attempt
 from lycheetide.relay._hedging import HedgedAttempts
 from lycheetide.relay._outcomes import AttemptFailed, Cause, StreamAborted
+from lycheetide.relay._presence import note_begun
 from lycheetide.relay._quarantine import note_answered, note_written
 from lycheetide.relay._reservations import MemoryUnavailable, reserve_memory
 from lycheetide.relay._retries import claim_retry
@@ -220,7 +221,7 @@
             initial_timeout_s=initial_timeout_s,
             more=more,
         )
-        note_answered(relay, call)
+        note_answered(relay, call, placement.first.id)
         stream_attempt.cancel_others()
         await reply.end()
 
@@ -314,6 +315,7 @@
             stream_attempt.events += 1
             if stream_attempt.events == 1:
                 note_written(relay, call)
+                note_begun(call, stream_attempt.replica)
             async with progress.write_lock:
                 await _forward_event(reply, progress, stream_attempt, event)
             # While the reading waited for the caller, the replica wasn't silent.
--- a/lycheetide/relay/tests/test_quarantine.py
+++ b/lycheetide/relay/tests/test_quarantine.py
@@ -117,6 +117,43 @@
     return sorted(at_s for one in fleet.replicas for at_s in one.crash_times)
 
 
+async def count_late_requests(
+    fleet, *, bad_s=LOAD_S, bad_per_s=BAD_PER_S, sound_per_s=SOUND_PER_S
+):
+    """Send sound prompts, then bad ones beside them.
+
+    Returns
+    -------
+    crashes : int
+        Number of replicas that crashed.
+    late : int
+        Bad requests that reached replicas later than ``CONTACT_S`` after the fifth.
+    before, after : float
+        Shares of sound first tries that were answered: before the bad ones, and from
+        twice ``CONTACT_S`` after the fifth crash, or the last, on.
+    """
+    await wait_for_peers(fleet)
+    load = Load(fleet)
+    begun_s = time.monotonic()
+    await load.run(load.send_sound, sound_per_s, 2.0)
+    bad_from_s = time.monotonic()
+    async with anyio.create_task_group() as group:
+        group.start_soon(load.run, load.send_sound, sound_per_s, bad_s)
+        group.start_soon(load.run, load.send_bad, bad_per_s, bad_s)
+    ended_s = time.monotonic()
+    crashes = list_crashes(fleet)
+    assert crashes
+    last_counted_s = crashes[min(CRASHES, len(crashes)) - 1]
+    late = [
+        at_s
+        for at_s in list_bad_requests(fleet)
+        if len(crashes) >= CRASHES and at_s > last_counted_s + CONTACT_S
+    ]
+    before = load.served_share(begun_s, bad_from_s)
+    after = load.served_share(last_counted_s + 2 * CONTACT_S, ended_s)
+    return len(crashes), len(late), before, after
+
+
 async def test_a_part_that_crashes_replicas_reaches_few_after_five_crashes():
     """Guards against requests that carry a crash from replica to replica.
 
@@ -126,26 +163,37 @@
     async with RelayDeployment(
         relays=3, replicas=10, crash_part=BAD_PART, config=make_config()
     ) as fleet:
-        await wait_for_peers(fleet)
-        load = Load(fleet)
-        begun_s = time.monotonic()
-        await load.run(load.send_sound, SOUND_PER_S, 2.0)
-        bad_s = time.monotonic()
-        async with anyio.create_task_group() as group:
-            group.start_soon(load.run, load.send_sound, SOUND_PER_S, LOAD_S)
-            group.start_soon(load.run, load.send_bad, BAD_PER_S, LOAD_S)
-        ended_s = time.monotonic()
-        crashes = list_crashes(fleet)
-        last_counted_s = crashes[min(CRASHES, len(crashes)) - 1]
-        late = [
-            at_s
-            for at_s in list_bad_requests(fleet)
-            if len(crashes) >= CRASHES and at_s > last_counted_s + CONTACT_S
-        ]
-    assert crashes
-    assert len(late) <= MAX_LATE_REQUESTS, f"{len(crashes)} replicas crashed"
-    before = load.served_share(begun_s, bad_s)
-    after = load.served_share(last_counted_s + 2 * CONTACT_S, ended_s)
+        crashes, late, before, after = await count_late_requests(fleet)
+    assert late <= MAX_LATE_REQUESTS, f"{crashes} replicas crashed"
+    assert after >= 0.5 * before
+
+
+@pytest.mark.parametrize("moment", ["request", "first", "events", "last", "end", "any"])
+async def test_a_part_that_crashes_replicas_later_in_the_answer_is_found(moment):
+    """Guards against events, or a whole answer, that hide a crash which follows."""
+    async with RelayDeployment(
+        relays=3, replicas=10, crash_part=BAD_PART, crash_moment=moment,
+        config=make_config(),
+    ) as fleet:  # fmt: skip
+        for replica in fleet.replicas:
+            replica.crash_delay_s = 0.02
+        crashes, late, before, after = await count_late_requests(fleet)
+    assert late <= MAX_LATE_REQUESTS, f"{crashes} replicas crashed"
+    assert after >= 0.5 * before
+
+
+@pytest.mark.parametrize("moment", ["head", "any"])
+async def test_a_part_whose_replicas_keep_an_open_address_is_found(moment):
+    """Guards against crashes that no refused connection proves."""
+    async with RelayDeployment(
+        relays=3, replicas=10, crash_part=BAD_PART, crash_moment=moment,
+        config=make_config(),
+    ) as fleet:  # fmt: skip
+        for replica in fleet.replicas:
+            replica.crash_delay_s = 0.02
+            replica.keeps_listening = True
+        crashes, late, before, after = await count_late_requests(fleet)
+    assert late <= MAX_LATE_REQUESTS, f"{crashes} replicas crashed"
     assert after >= 0.5 * before
 
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -8,6 +8,7 @@
 import time
 from dataclasses import replace
 from itertools import count
+from zlib import crc32
 
 import anyio
 
@@ -15,6 +16,7 @@
 
 RESPONSE_SEAL = "3e1b.07"
 HEALTH_PATH = "/health"
+CRASH_MOMENTS = ("request", "head", "first", "events", "last", "end")
 ENTRY_LEASE_S = 1.0
 """How long the entry of a replica that has crashed stays in the registry."""
 
@@ -109,15 +111,16 @@
     http_version : str
         Version of HTTP that the heads of its streams name.
     crash_part : str
-        Id of a shared part of prompts. Within ``live``, the process crashes as it
-        begins to write an answer to a prompt with this part; empty for none.
+        Id of a shared part of prompts. Within ``live``, the process crashes while it
+        answers a prompt with this part, at ``crash_moment``; empty for none.
     crash_on : callable or None
         Takes a request and tells whether the process crashes, within ``live``, while
         it works on it; None for never.
     crash_moment : str
-        When it does: "request" (before the head of the answer), "head", "events" (after
-        two more events, or half of a short body) or "end" (``crash_delay_s`` after the
-        complete answer).
+        When it does: "request" (before the head of the answer), "head", "first" (after
+        one event), "events" (after two more events, or half of a short body), "last"
+        (after the last event), "end" (``crash_delay_s`` after the complete answer) or
+        "any" (one of these, drawn for each attempt).
     crash_delay_s : float
         Time from the end of an answer to the crash.
     down_s : float
@@ -220,7 +223,7 @@
         """Crash if this process can't get past a moment of an answer to a request."""
         has_part = self.crash_part and self.crash_part in list_shared_parts(request)
         is_due = self.crash_on is not None and self.crash_on(request)
-        if (has_part and moment == "head") or (is_due and moment == self.crash_moment):
+        if (has_part or is_due) and moment == self._draw_crash_moment(request):
             if moment == "end":
                 await anyio.sleep(self.crash_delay_s)
             if is_due:
@@ -229,6 +232,13 @@
             self.crash()
             await anyio.sleep_forever()
 
+    def _draw_crash_moment(self, request):
+        """Return the moment of an answer at which the process crashes."""
+        if self.crash_moment != "any":
+            return self.crash_moment
+        attempt = request.headers.get("lycheetide-attempt-id", "")
+        return CRASH_MOMENTS[crc32((attempt + self.name).encode()) % len(CRASH_MOMENTS)]
+
     async def answer(self, request, stream):
         """Handle one request."""
         response = await self._respond(request, stream)
@@ -376,6 +386,10 @@
                     await self.wait_before_writing()
                     event = make_event(number, signature, size=self.event_bytes)
                     await self._send_event(stream, event)
+                    if number == start + 1:
+                        await self._crash_if_due(request, "first")
+                    if number == self.count_events(request):
+                        await self._crash_if_due(request, "last")
                     await anyio.sleep(self.pause_s)
                 group.cancel_scope.cancel()
         except* (
