Find prompts that crash engines after their first token

What callers of the own interface saw: engines that end after some tokens of an answer to prompts with one beginning were never found at fault. Cause: the same as on the relay, one road further: an attempt that had received a token wasn't checked (note_broken_attempt), and its token cleared the part.

Change: each node knows what it has at each engine's process, also just after an answer, asks an engine a second after an answer whether it still runs, and tells peers in heartbeats which prompts were at hand at a crash, which other engines had their parts, and which answers were survived. Running prompts are cancelled by a verdict, and checked again once they have their permit.

--- a/lycheetide/node/_heartbeats.py
+++ b/lycheetide/node/_heartbeats.py
@@ -7,6 +7,7 @@
 from lycheetide.membership import make_view_record
 from lycheetide.metrics import get_logger
 from lycheetide.node._broken_requests import apply_breaks, make_break_rows
+from lycheetide.node._presence import make_present_rows
 from lycheetide.node._quarantine import apply_reply, make_crash_rows
 from lycheetide.node._state import generate_id, read_clock
 from lycheetide.peers import PeerUnreachable, PullReply, PullRequest
@@ -44,12 +45,15 @@
         view = node.membership.view
         newer = view if view.number > request.row.view_number else None
         now_s = read_clock()
+        present, parts = make_present_rows(node, now_s=now_s)
         return PullReply(
             make_own_rows(node, now_s),
             newer,
             make_crash_rows(node, now_s=now_s),
             tuple(node.quarantine.table.list_entries()),
             make_break_rows(node, now_s=now_s),
+            present,
+            parts,
         )
 
     return pull
--- a/lycheetide/node/_prompts.py
+++ b/lycheetide/node/_prompts.py
@@ -23,6 +23,7 @@
     release_permit,
     report_acceptance,
 )
+from lycheetide.node._presence import Presence, note_accepted, note_ended
 from lycheetide.node._quarantine import (
     check_prompt,
     hash_prompt,
@@ -119,6 +120,10 @@
         Id of the engine process that accepted the current attempt; empty before.
     has_token : bool
         Whether the current attempt has received a token.
+    presence : Presence
+        The current attempt at its engine.
+    is_quarantined : bool
+        Whether it was cancelled because it crashes engines.
     """
 
     admitted: Any
@@ -134,6 +139,8 @@
     name: CallName = field(default_factory=CallName)
     accepted_by: str = ""
     has_token: bool = False
+    presence: Presence = field(default_factory=lambda: Presence((b"", b""), False))
+    is_quarantined: bool = False
 
     def step(self, event):
         """Apply an event to the lifecycle state."""
@@ -175,10 +182,14 @@
     run.step("admitted")
     try:
         with anyio.CancelScope(deadline=admitted.deadline_s) as scope:
+            node.quarantine.running[id(run)] = run, scope
             try:
                 await _attempt_until_done(node, run, emit)
             finally:
+                del node.quarantine.running[id(run)]
                 release_successor(node, run)
+        if run.is_quarantined and scope.cancelled_caught:
+            check_prompt(node, run.parts)
         if scope.cancelled_caught:
             raise NotRunError(
                 Reason.DEADLINE, "the deadline has passed", retry_after_s=RETRY_AFTER_S
@@ -212,7 +223,8 @@
                 release_permit(node, held)
                 await anyio.sleep(STALE_PERMIT_DELAY_S)
                 continue
-            if not may_send(node, run.name):
+            is_quarantined = node.quarantine.table.find(run.parts) is not None
+            if is_quarantined or not may_send(node, run.name):
                 run.step("permit_stale")
                 release_permit(node, held)
                 continue
@@ -224,8 +236,7 @@
                 broken = replicas
             head = node.fleet.upstreams.get(replicas[-1])
             note_broken_request(node, run.name, head, run.accepted_by, error)
-            if not run.has_token:
-                await note_broken_attempt(node, run, head, run.accepted_by, error)
+            await note_broken_attempt(node, run, head, run.accepted_by, error)
             _prepare_retry(node, run, replicas, error)
         finally:
             release_permit(node, held, broken=broken)
@@ -299,6 +310,8 @@
     upstreams = [node.fleet.upstreams[name] for name in permit.replicas]
     attempt_id = generate_id()
     run.check = StreamCheck(attempt_id, run.check.next_seq)
+    run.presence = Presence(run.parts, run.check.next_seq > 0)
+    failure: BaseException | None = anyio.get_cancelled_exc_class()()
     holdings: list[tuple[Any, str]] = []
     try:
         call = await _prepare_call(node, run, permit, upstreams, holdings)
@@ -306,7 +319,12 @@
             node, run, held, call, holdings, upstream=upstreams[-1], emit=emit
         )
         holdings[:] = [h for h in holdings if h[0] is not upstreams[-1]]
+        failure = None
+    except UpstreamError as error:
+        failure = error
+        raise
     finally:
+        note_ended(node, run.presence, upstreams[-1], failure)
         for upstream, holding_id in holdings:
             node.tasks.start_soon(_release, node, upstream, holding_id)
 
@@ -419,6 +437,7 @@
 
     def on_accepted(holding_id, boot_id):
         run.accepted_by = boot_id
+        note_accepted(node, run.presence, upstream, boot_id)
         report_acceptance(node, held, upstream.name, boot_id)
         if holding_id and all(held != holding_id for _, held in holdings):
             holdings.append((upstream, holding_id))
@@ -450,7 +469,7 @@
                     run.step("first_token")
                 if not run.has_token:
                     run.has_token = True
-                    note_first_token(node, run.parts)
+                    note_first_token(node, run)
                 await emit(Token(chunk.seq, chunk.text))
     except UpstreamConnectError:
         raise
--- a/lycheetide/node/_quarantine.py
+++ b/lycheetide/node/_quarantine.py
@@ -4,21 +4,25 @@
 
 from lycheetide.gossip import Life
 from lycheetide.metrics import get_logger
+from lycheetide.node._presence import (
+    apply_present_rows,
+    has_ended,
+    hash_prompt_text,
+    make_process,
+    report_crash,
+)
 from lycheetide.node._state import read_clock
 from lycheetide.outcomes import NotRunError, Reason
 from lycheetide.peers import CrashRow
 from lycheetide.quarantine import CrashSample, hash_parts
 from lycheetide.routing import make_prefix_key
-from lycheetide.upstreams import (
-    UpstreamBrokenError,
-    UpstreamConnectError,
-    UpstreamError,
-    fetch_report,
-)
+from lycheetide.upstreams import UpstreamBrokenError
 
 RETRY_AFTER_S = 60.0
 """Nothing short of a repaired engine makes the prompt servable."""
 CONFIRM_S = 0.3
+HEARTBEATS_TO_OBJECT = 3
+"""Heartbeats in which peers have told what they know of a crash."""
 SHARED_S = 30.0
 """How long a crash is told to peers: several rounds of heartbeats."""
 MAX_ROWS = 16
@@ -58,18 +62,17 @@
         )
 
 
-def note_first_token(node, parts):
-    """Record that an engine writes an answer to a prompt, which is therefore sound."""
+def note_first_token(node, run):
+    """Record that an engine has begun to write an answer to a prompt."""
     now_s = read_clock()
-    state = node.quarantine
-    is_suspect = state.evidence.is_suspect(parts[1])
-    state.evidence.note_written(parts if is_suspect else parts[:1], now_s=now_s)
-    for part in parts:
-        state.table.clear_part(part, now_s=now_s)
+    run.presence.begun_s = now_s
+    evidence = node.quarantine.evidence
+    is_suspect = evidence.is_suspect(run.parts[1])
+    evidence.note_written(run.parts if is_suspect else run.parts[:1], now_s=now_s)
 
 
 async def note_broken_attempt(node, run, upstream, boot_id, error):
-    """Check whether an engine crashed as it began to write an answer.
+    """Check whether an engine crashed while it worked on a prompt.
 
     The next attempt waits for that, at most ``CONFIRM_S``.
 
@@ -78,7 +81,7 @@
     node : NodeState
         This node.
     run : PromptRun
-        The prompt, of which this attempt has received no token.
+        The prompt.
     upstream : Upstream
         The engine.
     boot_id : str
@@ -88,25 +91,20 @@
     """
     if isinstance(error, UpstreamBrokenError) and boot_id:
         with anyio.move_on_after(CONFIRM_S):
-            await confirm_crash(node, run.parts, upstream, boot_id)
+            await confirm_crash(node, run, upstream, boot_id)
 
 
-async def confirm_crash(node, parts, upstream, boot_id):
+async def confirm_crash(node, run, upstream, boot_id):
     """Take note of a crash if the engine's process has ended."""
     at_s = read_clock()
-    try:
-        report = await fetch_report(node.http, upstream)
-        if report.boot_id == boot_id:
-            return
-    except UpstreamConnectError:
-        pass
-    except UpstreamError:
+    process = make_process(upstream, boot_id)
+    if not await has_ended(node, process, upstream):
         return
-    node.counters.add("quarantine.crashes")
-    prompt = int.from_bytes(parts[1][:8], "big")
-    life = Life(f"{upstream.name}/{boot_id}", 0)
-    sample = CrashSample(life, prompt, frozenset(parts), at_s, read_clock())
-    node.quarantine.evidence.note_crash(sample)
+    report_crash(node, process, at_s=at_s)
+    if not run.has_token:
+        prompt = hash_prompt_text(run.parts)
+        sample = CrashSample(process, prompt, frozenset(run.parts), at_s, read_clock())
+        node.quarantine.evidence.note_crash(sample)
     look_for_culprits(node)
 
 
@@ -121,6 +119,13 @@
         now_s=now_s,
         explained=state.requests.list_explained(),
     )
+    known = [*state.table.list_active(), *(parts for parts, _ in culprits)]
+    culprits += state.presence.find_culprits(
+        known,
+        objection_s=HEARTBEATS_TO_OBJECT * node.settings.heartbeat_interval_s,
+        now_s=now_s,
+        explained=state.requests.list_explained(),
+    )
     for parts, crashes in culprits:
         entry = state.table.impose(parts, crashes=crashes, now_s=now_s)
         node.counters.add("quarantine.imposed")
@@ -128,6 +133,19 @@
             "Prompts are in quarantine.",
             extra={"quarantine": entry.name, "crashes": crashes},
         )
+    if culprits:
+        cancel_quarantined(node)
+
+
+def cancel_quarantined(node):
+    """Cancel the running prompts that are in quarantine.
+
+    Their engines may crash at any token, and break off the answers of all others.
+    """
+    for run, scope in list(node.quarantine.running.values()):
+        if node.quarantine.table.find(run.parts) is not None:
+            run.is_quarantined = True
+            scope.cancel()
 
 
 def make_crash_rows(node, *, now_s):
@@ -153,9 +171,10 @@
             CrashSample(Life(row.process, 0), row.prompt, frozenset(row.parts), at_s,
                         now_s)
         )  # fmt: skip
-    for entry in reply.quarantines:
-        state.table.merge(entry, now_s=now_s)
-    if reply.crashes:
+    apply_present_rows(node, reply, asked_s=asked_s, now_s=now_s)
+    if any([state.table.merge(entry, now_s=now_s) for entry in reply.quarantines]):
+        cancel_quarantined(node)
+    if state.presence.is_settling(now_s=now_s) or reply.crashes:
         look_for_culprits(node)
     state.drop_outdated(now_s=now_s)
     state.table.expire(now_s=now_s)
--- a/lycheetide/node/tests/test_quarantine.py
+++ b/lycheetide/node/tests/test_quarantine.py
@@ -29,10 +29,14 @@
     return sum(engine.is_running() for engine in fleet.engines.values())
 
 
-def test_prompts_that_share_a_part_crash_few_engines(fleet):
-    """Guards against retries, and callers, that carry a crash to the next engine."""
+@pytest.mark.parametrize("crash_at", [0, 2])
+def test_prompts_that_share_a_part_crash_few_engines(fleet, crash_at):
+    """Guards against retries, and callers, that carry a crash to the next engine.
+
+    The engines crash before the first token, or after some.
+    """
     for name in fleet.engines:
-        fleet.set_faults(name, crash_on=BAD_PREFIX)
+        fleet.set_faults(name, crash_on=BAD_PREFIX, crash_at=crash_at)
     nodes = list(fleet.nodes.values())
 
     def send_bad(number):
--- a/lycheetide/peers/_messages.py
+++ b/lycheetide/peers/_messages.py
@@ -38,6 +38,51 @@
     age_ms: int
 
 
+@dataclass(frozen=True)
+class PresentCrash:
+    """The crash of an engine, with the prompts that it had at hand.
+
+    Parameters
+    ----------
+    process : str
+        Name of the engine and id of the process.
+    age_ms : int
+        Time since the crash.
+    prompts : tuple of (int, tuple of bytes, int, bool)
+        The fields of each, as of ``PresentPrompt``; its age is in milliseconds.
+    """
+
+    process: str
+    age_ms: int
+    prompts: tuple[tuple[int, tuple[bytes, ...], int, bool], ...]
+
+
+@dataclass(frozen=True)
+class PresentPart:
+    """What is known of a part that was present at the crash of an engine.
+
+    Parameters
+    ----------
+    process : str
+        The process that crashed.
+    part : bytes
+        Hash of the part.
+    fresh, others : tuple of int
+        Hashes of the other processes that had it at hand.
+    survivor : str
+        The process that last survived an answer to it; empty for none.
+    survived_age_ms : int
+        Time since that answer.
+    """
+
+    process: str
+    part: bytes
+    fresh: tuple[int, ...]
+    others: tuple[int, ...]
+    survivor: str = ""
+    survived_age_ms: int = 0
+
+
 @dataclass(frozen=True)
 class BreakRow:
     """An attempt at a request that an upstream broke off.
@@ -99,6 +144,10 @@
         Prompts that are kept from engines, or no longer.
     breaks : tuple of BreakRow
         Recent crashes under requests.
+    present : tuple of PresentCrash
+        Recent crashes of engines with all prompts that were at hand.
+    parts : tuple of PresentPart
+        What is known of their parts.
     """
 
     rows: tuple[MemberRow, ...]
@@ -106,6 +155,8 @@
     crashes: tuple[CrashRow, ...] = ()
     quarantines: tuple[QuarantineEntry, ...] = ()
     breaks: tuple[BreakRow, ...] = ()
+    present: tuple[PresentCrash, ...] = ()
+    parts: tuple[PresentPart, ...] = ()
 
 
 class AcquireStatus(StrEnum):
--- a/lycheetide/quarantine/_presence.py
+++ b/lycheetide/quarantine/_presence.py
@@ -12,17 +12,17 @@
 from collections import OrderedDict, defaultdict
 from dataclasses import dataclass
 from functools import partial
-from itertools import pairwise
 
 from lycheetide.gossip import Life
 from lycheetide.quarantine._evidence import (
-    JOINT_CRASHES_S,
     MIN_CRASHES,
     MIN_CRASHES_OF_ONE_PROMPT,
     MIN_PROMPTS,
     NEVER_S,
     RETENTION_S,
     SETTLING_S,
+    CrashSample,
+    count_crashes,
 )
 
 FRESH_S = 0.5
@@ -42,7 +42,7 @@
 MIN_SHARE_OF_MOST = 0.65
 MAX_JOINT_PARTS = 16
 MAX_LIVES = 256
-MAX_HITS = 32_768
+MAX_HITS = 8_192
 """Most pairs of a crash and a part that was present at it."""
 MAX_SURVIVED = 4_096
 """Parts of which the last survived answers are remembered."""
@@ -105,7 +105,8 @@
         rows = sorted([(life, at_s), *others], key=lambda row: -row[1])
         tested, proven_s = self.tested, self.proven_s
         if tested is not None and at_s - tested[1] >= PROOF_S:
-            tested, proven_s = None, max(proven_s, tested[1])
+            proven_s = max(proven_s, tested[1])
+            tested = None
         latest = tuple(rows[:SURVIVALS_PER_PART])
         return Survivals(latest, tested or (life, at_s), proven_s)
 
@@ -147,13 +148,6 @@
     crashes: int
 
 
-def count_separate(times_s):
-    """Return the number of crashes that aren't joint ones, by their times."""
-    times_s = sorted(times_s)
-    gaps = (later - earlier for earlier, later in pairwise(times_s))
-    return bool(times_s) + sum(gap >= JOINT_CRASHES_S for gap in gaps)
-
-
 def compare_likelihoods(crashes, total, shares):
     """Return the log-likelihood ratio of a part at fault against a sound one.
 
@@ -216,8 +210,14 @@
             Number of replicas that could have crashed, this one included.
         at_s, now_s : float
             When it crashed, and current time.
+
+        Returns
+        -------
+        bool
+            Whether the crash wasn't known.
         """
-        if life not in self._at_s:
+        is_new = life not in self._at_s
+        if is_new:
             self._at_s[life] = at_s
             self._known_s[life] = now_s
             self._alive[life] = max(1, alive)
@@ -241,6 +241,21 @@
             self._hits > MAX_HITS and len(self._at_s) > 1
         ):
             self._drop(next(iter(self._at_s)))
+        return is_new
+
+    def list_crashes(self, *, since_s):
+        """Return the crashes since a time, the last that were learnt of at the end.
+
+        Returns
+        -------
+        list of (Life, float, list of PresentPrompt)
+            The start of each replica, when it crashed, and what it had at hand.
+        """
+        return [
+            (life, at_s, list(self._prompts[life].values()))
+            for life, at_s in self._at_s.items()
+            if at_s >= since_s
+        ]
 
     def _drop(self, life):
         """Forget a crash."""
@@ -481,12 +496,17 @@
 
     def _score(self, part, lives, accounted, level):
         """Return the score of a part, its separate crashes, and all since its first."""
-        crashes = count_separate(self._at_s[life] for life in lives)
+        crashes = count_crashes(
+            self._make_sample(life, one)
+            for life in lives
+            for one in self._list_with(part, life)
+        )
         first_s = min(self._at_s[life] for life in lives)
-        total = count_separate(
-            at_s
+        total = count_crashes(
+            self._make_sample(life, one)
             for life, at_s in self._at_s.items()
             if at_s >= first_s and life not in accounted
+            for one in self._prompts[life].values()
         )
         shares = [
             min(1.0, (len(self.list_elsewhere(life, part)[level]) + 1)
@@ -496,6 +516,12 @@
         score = compare_likelihoods(crashes, max(total, crashes), shares)
         return score, crashes, total
 
+    def _make_sample(self, life, prompt):
+        """Return a prompt at a crash in the form that ``count_crashes`` takes."""
+        return CrashSample(
+            life, prompt.prompt, prompt.parts, self._at_s[life], self._known_s[life]
+        )
+
     def _find_joint(self, worst):
         """Return the parts that were present wherever a culprit was."""
         shared = frozenset.intersection(
--- a/lycheetide/relay/_presence.py
+++ b/lycheetide/relay/_presence.py
@@ -159,10 +159,12 @@
     heard_s : float
         When the replica was last heard from.
     now_s : float
-        Current time.
+        The time in question.
     """
-    if presence.sent_s is None or presence.ended_s is None:
-        return presence.sent_s is not None
+    if presence.sent_s is None or presence.sent_s > now_s:
+        return False
+    if presence.ended_s is None or presence.ended_s > now_s:
+        return True
     is_unproven = heard_s < presence.ended_s + AFTERMATH_S
     return is_unproven and now_s - presence.ended_s < UNHEARD_S
 
@@ -170,7 +172,8 @@
 def is_fresh(presence, *, now_s):
     """Tell whether the answer hasn't begun, has just begun, or has ended."""
     is_young = presence.begun_s is None or now_s - presence.begun_s < FRESH_S
-    return is_young or presence.ended_s is not None
+    is_over = presence.ended_s is not None and presence.ended_s <= now_s
+    return is_young or is_over
 
 
 def list_accused(relay, life, *, at_s):
@@ -188,7 +191,9 @@
         if one.sent_s is None or one.sent_s > at_s + BREAK_SPREAD_S:
             continue
         is_ended = one.ended_s is not None and not one.is_broken
-        if one.is_broken or is_at_hand(one, heard_s=heard_s, now_s=at_s):
+        if one.is_broken or is_at_hand(
+            one, heard_s=heard_s, now_s=at_s + BREAK_SPREAD_S
+        ):
             age_s = -1.0 if one.begun_s is None else max(0.0, at_s - one.begun_s)
             prompt = PresentPrompt(one.prompt, frozenset(one.parts), age_s, is_ended)
             rows.append(prompt)
@@ -196,8 +201,8 @@
     return rows[:MAX_REPORTED]
 
 
-def find_present(relay, parts, *, but, now_s):
-    """Return the replicas at which this node has parts at hand.
+def find_present(relay, parts, *, but, at_s):
+    """Return the replicas at which this node had parts at hand at a time.
 
     Parameters
     ----------
@@ -207,8 +212,8 @@
         Hashes of the parts.
     but : Life
         A replica that doesn't count.
-    now_s : float
-        Current time.
+    at_s : float
+        The time.
 
     Returns
     -------
@@ -225,8 +230,8 @@
         name = hash_name(life.replica)
         heard_s = relay.failure_detector.last_answer_s(life.replica)
         for one in presences:
-            if is_at_hand(one, heard_s=heard_s, now_s=now_s):
-                place = 0 if is_fresh(one, now_s=now_s) else 1
+            if is_at_hand(one, heard_s=heard_s, now_s=at_s):
+                place = 0 if is_fresh(one, now_s=at_s) else 1
                 for part in parts.intersection(one.parts):
                     found[part][place].add(name)
     return found
@@ -290,7 +295,7 @@
     alive = count_alive(relay, life)
     state.presence.note_crash(life, prompts, alive=alive, at_s=at_s, now_s=now_s)
     parts = frozenset().union(*(one.parts for one in prompts))
-    elsewhere = find_present(relay, parts, but=life, now_s=now_s)
+    elsewhere = find_present(relay, parts, but=life, at_s=at_s)
     relay.tasks.start_soon(answer_later, relay, life, elsewhere, at_s)
 
 
