Give up replicas and engines that send bytes without end

A replica that sends bytes that are no answer, without an end, in place of an event was read on and on: each read reset the time limit, and the node kept all of it (the new test with step "endless" fails before, the one of the head passes: h11 bounds an incomplete head at 64 KiB). The same on the own interface, where a line had no limit, and for interim responses, bounded by time alone.

An event or a line may have 1 MiB now, 32 interim responses may come before a head. What goes beyond fails the attempt, which is logged and made again elsewhere.

--- a/lycheetide/httpclient/_channel.py
+++ b/lycheetide/httpclient/_channel.py
@@ -14,6 +14,7 @@
 """Size of the slices in which a long body is written, if it isn't joined with its head:
 the event loop copies what the system doesn't take at once."""
 MAX_HEAD_BYTES = 65_536
+MAX_INTERIM_RESPONSES = 32
 TCP_USER_TIMEOUT_MS = 3_000
 """The connection is closed when sent bytes or keep-alive probes stay unacknowledged for
 this period: with this option set, the number of probes decides nothing."""
@@ -305,12 +306,15 @@
 
     async def _read_head(self):
         """Return the head of the response; interim (1xx) responses are skipped."""
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, tuple(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ChannelError(f"{self.address} closed before it responded")
+        raise ChannelError(
+            f"{self.address} sent {MAX_INTERIM_RESPONSES} interim responses"
+        )
 
     async def next_chunk(self):
         """Return the next bytes of the body, or None if the body is complete.
--- a/lycheetide/relay/_events.py
+++ b/lycheetide/relay/_events.py
@@ -4,6 +4,12 @@
 from dataclasses import dataclass
 
 END_OF_EVENT = b"\n\n"
+MAX_EVENT_BYTES = 1_048_576
+"""Longest event; a replica that sends more without an end sends no events."""
+
+
+class EventTooLongError(ValueError):
+    """Bytes of a stream that go on without the end of an event."""
 
 
 @dataclass(frozen=True)
@@ -48,12 +54,22 @@
         self.rest = b""
 
     def split(self, data: bytes) -> Iterator[Event]:
-        """Add bytes to the buffer and yield the events that are now whole."""
+        """Add bytes to the buffer and yield the events that are now whole.
+
+        Raises
+        ------
+        EventTooLongError
+            If an event is longer than ``MAX_EVENT_BYTES``.
+        """
         self.rest += data.replace(b"\r\n", b"\n") if b"\r" in data else data
         while (end := self.rest.find(END_OF_EVENT)) >= 0:
             end += len(END_OF_EVENT)
             event, self.rest = self.rest[:end], self.rest[end:]
             yield Event(event, find_id(event))
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise EventTooLongError(
+                f"{len(self.rest)} bytes without the end of an event"
+            )
 
 
 def find_id(event: bytes) -> bytes:
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -18,7 +18,7 @@
     make_failure,
     open_attempt,
 )
-from lycheetide.relay._events import EventSplitter
+from lycheetide.relay._events import EventSplitter, EventTooLongError
 from lycheetide.relay._evidence import record_failed_attempt
 from lycheetide.relay._hedging import HedgedAttempts
 from lycheetide.relay._outcomes import AttemptFailed, Cause, StreamAborted
@@ -311,17 +311,24 @@
             relay.job_table.note_read(
                 relay.node, stream_attempt.job_id, now_s=stream_attempt.at_s
             )
-        for event in splitter.split(data):
-            stream_attempt.events += 1
-            if stream_attempt.events == 1:
-                note_written(relay, call)
-                note_begun(call, stream_attempt.replica)
-            async with progress.write_lock:
-                await _forward_event(reply, progress, stream_attempt, event)
-            # While the reading waited for the caller, the replica wasn't silent.
-            stream_attempt.at_s = max(stream_attempt.at_s, reply.waited_until_s)
-            pace = relay.paces.pace(stream_attempt.replica, now_s=stream_attempt.at_s)
-            event_timeout_s = SILENCE_MARGIN_S + pace * estimate_pass_s(engine, 1)
+        try:
+            for event in splitter.split(data):
+                stream_attempt.events += 1
+                if stream_attempt.events == 1:
+                    note_written(relay, call)
+                    note_begun(call, stream_attempt.replica)
+                async with progress.write_lock:
+                    await _forward_event(reply, progress, stream_attempt, event)
+                # While the reading waited for the caller, the replica wasn't silent.
+                stream_attempt.at_s = max(stream_attempt.at_s, reply.waited_until_s)
+                pace = relay.paces.pace(
+                    stream_attempt.replica, now_s=stream_attempt.at_s
+                )
+                event_timeout_s = SILENCE_MARGIN_S + pace * estimate_pass_s(engine, 1)
+        except EventTooLongError as endless:
+            raise AttemptFailed(
+                Cause.WRONG_ANSWER, str(endless), may_have_run=True
+            ) from endless
     if splitter.rest.strip():
         raise AttemptFailed(
             Cause.BROKEN, "the stream ended within an event", may_have_run=True
--- a/lycheetide/relay/tests/test_answers.py
+++ b/lycheetide/relay/tests/test_answers.py
@@ -513,3 +513,17 @@
         faults = fleet.relays[0].counters.counts["requests.fault"]
     assert answer.content == WHOLE_STREAM
     assert faults == 0
+
+
+@pytest.mark.parametrize("step", ["endless-head", "endless"])
+async def test_bytes_without_end_that_are_no_answer_are_given_up(step, caplog):
+    """Guards against a replica whose bytes a node collects until it has no memory."""
+    caplog.set_level("INFO")
+    async with RelayDeployment(replicas=2) as fleet:
+        for replica in fleet.replicas:
+            replica.next_steps = [step]
+        responses = [await fleet.stream() for _ in range(2)]
+        sent = sum(replica.endless_bytes for replica in fleet.replicas)
+    assert 0 < sent < 32_000_000
+    assert responses[-1].status_code == 200
+    assert any(one.message.endswith("An attempt failed.") for one in caplog.records)
--- a/lycheetide/upstreams/_engine.py
+++ b/lycheetide/upstreams/_engine.py
@@ -13,6 +13,8 @@
 CONTROL_TIMEOUT_S = 2.0
 NO_READ_TIMEOUT = httpx.Timeout(CONTROL_TIMEOUT_S, read=None, write=None)
 """For calls whose maximum silence is enforced by the caller."""
+MAX_LINE_CHARACTERS = 1_048_576
+"""Longest line of an answer; an engine that sends more sends no events."""
 EVENT_DATA_PREFIX = "data: "
 
 
@@ -197,7 +199,7 @@
                 raise_for_error(response, _decode_json(await response.aread()))
             headers = response.headers
             on_accepted(headers.get("x-holding-id", ""), headers.get("x-boot-id", ""))
-            async for line in response.aiter_lines():
+            async for line in read_lines(response):
                 silence.end()
                 if line.startswith(EVENT_DATA_PREFIX):
                     limit_s = between_s
@@ -208,6 +210,25 @@
             await response.aclose()
 
 
+async def read_lines(response):
+    """Yield the lines of an answer.
+
+    Raises
+    ------
+    UpstreamBrokenError
+        If a line is longer than ``MAX_LINE_CHARACTERS``.
+    """
+    rest = ""
+    async for text in response.aiter_text():
+        *lines, rest = (rest + text).split("\n")
+        for line in lines:
+            yield line.removesuffix("\r")
+        if len(rest) > MAX_LINE_CHARACTERS:
+            raise UpstreamBrokenError(f"a line of over {len(rest)} characters")
+    if rest:
+        yield rest
+
+
 def _parse_event(line):
     """Parse the chunk in the data line of an event."""
     try:
--- a/lycheetide/upstreams/tests/test_client.py
+++ b/lycheetide/upstreams/tests/test_client.py
@@ -13,6 +13,7 @@
     call_service,
     make_http_client,
 )
+from lycheetide.upstreams._engine import read_lines
 from standins.local import find_port
 
 REFUSAL = b'{"error": "busy", "started": false}'
@@ -95,3 +96,27 @@
     with pytest.raises(UpstreamConnectError) as raised:
         run_call(b"", requests=[], listens=False)
     assert raised.value.may_have_started is False
+
+
+def test_a_line_without_end_is_given_up():
+    """Guards against an engine whose bytes a node collects until it has no memory."""
+    sent = 0
+
+    class Endless:
+        async def aiter_text(self):
+            nonlocal sent
+            yield "data: 1\r\ndata: 2\n"
+            while True:
+                sent += 4_096
+                yield "x" * 4_096
+
+    lines = []
+
+    async def read():
+        async for line in read_lines(Endless()):
+            lines.append(line)
+
+    with pytest.raises(UpstreamBrokenError):
+        anyio.run(read)
+    assert lines == ["data: 1", "data: 2"]
+    assert sent < 2_000_000
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -79,7 +79,9 @@
         Steps of the next requests: "refuse", "refuse-helped" (only those with helpers),
         "reset", "silent", "break", "stall", "garbled", "crossed", "extra", "unframed",
         "unframed-reset", "fail", "other", "end" (a stream whose connection is closed
-        within the third event), "end-empty" (before the first one), "late" and "pause"
+        within the third event), "end-empty" (before the first one), "endless-head" and
+        "endless" (bytes that are no answer, without end, in the head and in place of
+        the third event), "late" and "pause"
         (the last two send nothing for ``long_pause_s``, before the response and after
         two events respectively, and then continue).
     default_step : str
@@ -100,6 +102,8 @@
         for any time.
     cut_unread : int
         Number of streams that were cut off for this reason.
+    endless_bytes : int
+        Number of bytes sent that are no answer.
     event_bytes : int
         Size to which the data of each event is filled up.
     refused_helper : str
@@ -150,6 +154,7 @@
         self.refused_helper = ""
         self.unread_limit_s = None
         self.cut_unread = 0
+        self.endless_bytes = 0
         self.event_bytes = 0
         self.long_pause_s = 0.0
         self.pace = 1.0
@@ -300,6 +305,10 @@
             await anyio.sleep(self.long_pause_s)
         if step == "crossed":
             attempt = "0" * 16
+        if step == "endless-head":
+            await self._send_without_end(
+                stream, b"HTTP/1.1 200 OK\r\nX: ", b"x" * 4_096
+            )
         head = self.make_state_headers() | {
             "Lycheetide-Attempt-Id": attempt,
             "Lycheetide-Response-Seal": RESPONSE_SEAL,
@@ -381,6 +390,9 @@
                         await self._crash_if_due(request, "events")
                     if step == "stall" and number == start + 3:
                         await anyio.sleep_forever()
+                    if step == "endless" and number == start + 3:
+                        filler = self._frame(b"x" * 4_096)
+                        await self._send_without_end(stream, b"", filler)
                     if step == "pause" and number == start + 3:
                         await anyio.sleep(self.long_pause_s)
                     await self.wait_before_writing()
@@ -404,6 +416,16 @@
         await self._crash_if_due(request, "end")
         return RESPONSE_SENT if self.framing == "chunks" else None
 
+    async def _send_without_end(self, stream, data, filler):
+        """Send bytes until the caller closes the connection."""
+        try:
+            await stream.send(data)
+            while True:
+                await stream.send(filler)
+                self.endless_bytes += len(filler)
+        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            raise ConnectionReset from None
+
     def _frame(self, data):
         """Return a part of a stream as it is sent."""
         return data if self.framing == "close" else chunk(data)
