--- a/benchmarks/late_crashes.py
+++ b/benchmarks/late_crashes.py
@@ -442,13 +442,15 @@
     parser = argparse.ArgumentParser(prog="late_crashes")
     parser.add_argument("--seeds", type=int, default=40)
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--policy", choices=POLICIES, action="append")
+    parser.add_argument("--length", choices=LENGTHS_S, action="append")
     parser.add_argument("--write", action="store_true")
     args = parser.parse_args()
     results: dict = {"seeds": args.seeds, "sizes": measure_sizes()}
     print(results["sizes"])
     with Pool(args.jobs) as pool:
-        for policy in POLICIES:
-            for length in LENGTHS_S:
+        for policy in args.policy or POLICIES:
+            for length in args.length or LENGTHS_S:
                 rows = results.setdefault(f"{policy}, {length}", {})
                 for name, row in measure(pool, policy, length, args.seeds):
                     rows[name] = row
