Crash at every moment in the soak, and read whole answers to bad prompts as streams

The soak's part crashed replicas at their head alone. Each replica now has another moment, one draws it for each attempt, and one crashes 20 ms after whole answers. So prompts with the part are answered whole at times; the check of bodies took these for short answers and reported MIXED on an intact stream of six events. They go through the check of streams now, which is stricter: owner, order and number.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -161,7 +161,7 @@
             yield f"MIXED {attempt.id} received the response to another attempt"
         if headers.get("lycheetide-response-seal") != RESPONSE_SEAL:
             yield f"MIXED {attempt.id} received a response without its replica's seal"
-        if attempt.kind in SILENCE_TIMEOUT_S:
+        if attempt.kind in SILENCE_TIMEOUT_S or attempt.kind == "bad":
             yield from _check_stream(attempt)
         elif attempt.is_complete and not attempt.body.endswith(attempt.id.encode()):
             yield f"MIXED {attempt.id} received {attempt.body[:60]!r}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -41,6 +41,8 @@
 FATAL_CALLER_COUNT = 2
 FRAMINGS = ("chunks", "close", "chunks-close")
 MOMENTS = ("request", "head", "events")
+PART_MOMENTS = ("any", "first", "head", "last", "events", "end")
+PART_CRASH_DELAY_S = 0.02
 RECOVERY_S = 6.0
 """Time after the last fault from which on every attempt must succeed."""
 CALM_S = 3.0
@@ -191,9 +193,11 @@
 
 
 def add_bad_part(deployment):
-    """Let replicas crash on a part, and end their streams in different ways."""
+    """Let replicas crash on a part, at various moments; their streams end variously."""
     for index, replica in enumerate(deployment.replicas):
         replica.crash_part = BAD_PART
+        replica.crash_moment = PART_MOMENTS[index % len(PART_MOMENTS)]
+        replica.crash_delay_s = PART_CRASH_DELAY_S
         replica.framing = FRAMINGS[index % len(FRAMINGS)]
 
 
