Skip and count records that no decoder error foresees

Cause: the readers of foreign bytes skipped what raises MsgspecError, but msgspec raises RecursionError for such a value, which ended the follower of the registry again and again.

Each reader of the registry, the operators' records, the quarantines, the log, reports, peers' topics, datagrams and tunnels now takes the same set of errors.

--- a/lycheetide/exchange/__init__.py
+++ b/lycheetide/exchange/__init__.py
@@ -1,6 +1,11 @@
 """Protocol-independent types of requests, answers and store records."""
 
-from lycheetide.exchange._records import Record, RecordBatch, StoreUnavailable
+from lycheetide.exchange._records import (
+    DECODE_ERRORS,
+    Record,
+    RecordBatch,
+    StoreUnavailable,
+)
 from lycheetide.exchange._types import (
     CallerRequest,
     ReplicaReport,
@@ -9,6 +14,7 @@
 )
 
 __all__ = [
+    "DECODE_ERRORS",
     "CallerRequest",
     "Record",
     "RecordBatch",
--- a/lycheetide/exchange/_records.py
+++ b/lycheetide/exchange/_records.py
@@ -2,6 +2,17 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
+DECODE_ERRORS = (
+    msgspec.MsgspecError,
+    ValueError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+)
+"""What decoding the bytes of another writer may raise, whatever they are."""
+
 
 class StoreUnavailable(Exception):
     """The store gave no valid answer to a call; a write may have taken effect."""
--- a/lycheetide/platform/_registry.py
+++ b/lycheetide/platform/_registry.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from lycheetide.exchange import Record
+from lycheetide.exchange import DECODE_ERRORS, Record
 from lycheetide.replicas import RegistryChange, RegistryEntry
 
 
@@ -49,7 +49,7 @@
             continue
         try:
             entry = msgspec.json.decode(record.value, type=_Entry)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             skipped.append(f"{record.key}: {error}")
             continue
         if services and entry.service not in services:
--- a/lycheetide/platform/_store.py
+++ b/lycheetide/platform/_store.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lycheetide.exchange import Record, RecordBatch, StoreUnavailable
+from lycheetide.exchange import DECODE_ERRORS, Record, RecordBatch, StoreUnavailable
 from lycheetide.httpclient import (
     Channel,
     ChannelConnectError,
@@ -134,7 +134,7 @@
             try:
                 page = msgspec.json.decode(answer.body, type=_Page)
                 records.extend(_decode_item(item) for item in page.items)
-            except (msgspec.MsgspecError, ValueError) as error:
+            except DECODE_ERRORS as error:
                 raise StoreUnavailable(f"{target}: {error}") from error
             if first_page_end is None:
                 # The pages are not one consistent snapshot: records written since the
--- a/lycheetide/platformlog/_client.py
+++ b/lycheetide/platformlog/_client.py
@@ -6,6 +6,7 @@
 import httpx
 import msgspec
 
+from lycheetide.exchange import DECODE_ERRORS
 from lycheetide.membership import Host
 
 MAX_READ_RECORDS = 1000
@@ -69,7 +70,7 @@
             body = msgspec.json.decode(response.content)
             records = tuple((row["offset"], row["value"]) for row in body["records"])
             return LogBatch(body["first_retained"], body["next_offset"], records)
-        except (httpx.HTTPError, msgspec.MsgspecError, KeyError) as error:
+        except (httpx.HTTPError, *DECODE_ERRORS, KeyError) as error:
             raise LogUnavailable(
                 f"reading stream {stream} failed: {error!r}"
             ) from error
@@ -109,7 +110,7 @@
             )
             response.raise_for_status()
             return msgspec.json.decode(response.content)["first_offset"]
-        except (httpx.HTTPError, msgspec.MsgspecError, KeyError) as error:
+        except (httpx.HTTPError, *DECODE_ERRORS, KeyError) as error:
             raise LogUnavailable(
                 f"appending to stream {stream} failed: {error!r}"
             ) from error
@@ -133,5 +134,5 @@
         response.raise_for_status()
         rows = msgspec.json.decode(response.content)["hosts"]
         return msgspec.convert(rows, tuple[Host, ...])
-    except (httpx.HTTPError, msgspec.MsgspecError, KeyError) as error:
+    except (httpx.HTTPError, *DECODE_ERRORS, KeyError) as error:
         raise LogUnavailable(f"reading the host list failed: {error!r}") from error
--- a/lycheetide/relay/_apply_records.py
+++ b/lycheetide/relay/_apply_records.py
@@ -2,8 +2,7 @@
 
 import logging
 
-import msgspec
-
+from lycheetide.exchange import DECODE_ERRORS
 from lycheetide.relay._roles import (
     decode_change_message,
     is_hub,
@@ -104,7 +103,7 @@
     for record in sorted(records, key=lambda one: one.offset):
         try:
             yield from relay.adapter.decode_operator_records([record])
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             relay.counters.add("config.broken")
             relay.log.error(
                 "A configuration record can't be decoded; it is skipped.",
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -5,7 +5,7 @@
 import anyio
 import msgspec
 
-from lycheetide.exchange import StoreUnavailable
+from lycheetide.exchange import DECODE_ERRORS, StoreUnavailable
 from lycheetide.gossip import (
     MAX_DATAGRAM_BYTES,
     Bundle,
@@ -336,7 +336,7 @@
         """Process one datagram, and count it if it can't be decoded."""
         try:
             message = decode_message(data)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             self.relay.counters.add("peers.broken_datagram")
             return
         if not self._is_from_this_fleet(message):
--- a/lycheetide/relay/_paces.py
+++ b/lycheetide/relay/_paces.py
@@ -7,8 +7,8 @@
 """
 
 import anyio
-import msgspec
 
+from lycheetide.exchange import DECODE_ERRORS
 from lycheetide.httpclient import ChannelConnectError, ChannelError, compute_idle_limit
 from lycheetide.relay._rests import record_rest
 from lycheetide.relay._roles import find_hubs
@@ -124,5 +124,5 @@
                 record_rest(relay, entry, relay.adapter.decode_answer(head).rest_s)
             if head.status == 200:
                 paces[entry.id] = relay.adapter.decode_report(body).pace
-        except (ChannelConnectError, ChannelError, msgspec.MsgspecError):
+        except (ChannelConnectError, ChannelError, *DECODE_ERRORS):
             relay.counters.add("reports.failed")
--- a/lycheetide/relay/_peer_state.py
+++ b/lycheetide/relay/_peer_state.py
@@ -3,7 +3,7 @@
 import anyio
 import msgspec
 
-from lycheetide.exchange import RecordBatch
+from lycheetide.exchange import DECODE_ERRORS, RecordBatch
 from lycheetide.httpclient import ChannelConnectError, ChannelError, OutgoingRequest
 from lycheetide.relay._apply_records import apply_batch
 from lycheetide.relay._quarantine_sync import QUARANTINE_TARGET, encode_quarantines
@@ -74,7 +74,7 @@
     try:
         target = TOPIC_TARGETS[name] + (FORCE_QUERY if force else b"")
         batch = await request_topic(relay, address, target)
-    except (ChannelConnectError, ChannelError, msgspec.MsgspecError) as error:
+    except (ChannelConnectError, ChannelError, *DECODE_ERRORS) as error:
         relay.log.info(
             "Fetching state from a peer failed.",
             extra={"peer": address, "cause": str(error)},
--- a/lycheetide/relay/_quarantine_store.py
+++ b/lycheetide/relay/_quarantine_store.py
@@ -1,7 +1,6 @@
 """Read and write the quarantines that the store keeps."""
 
-import msgspec
-
+from lycheetide.exchange import DECODE_ERRORS
 from lycheetide.quarantine import decode_entries, encode_entries
 
 TIMEOUT_S = 1.0
@@ -33,7 +32,7 @@
     for record in batch.records:
         try:
             entries.extend(decode_entries(record.value or b"\x90"))
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             broken.append(record.key)
     return entries, broken
 
--- a/lycheetide/relay/_quarantine_sync.py
+++ b/lycheetide/relay/_quarantine_sync.py
@@ -1,9 +1,8 @@
 """Bring the quarantines of all nodes and those in the store into agreement."""
 
 import anyio
-import msgspec
 
-from lycheetide.exchange import StoreUnavailable
+from lycheetide.exchange import DECODE_ERRORS, StoreUnavailable
 from lycheetide.gossip import CrashReport, PartsWritten, Quarantined
 from lycheetide.httpclient import ChannelConnectError, ChannelError, OutgoingRequest
 from lycheetide.quarantine import QuarantineEntry, decode_entries, encode_entries
@@ -88,7 +87,7 @@
         if head.status != 200:
             raise ChannelError(f"{address}: status {head.status}")
         entries = decode_entries(data)
-    except (ChannelConnectError, ChannelError, msgspec.MsgspecError) as error:
+    except (ChannelConnectError, ChannelError, *DECODE_ERRORS) as error:
         relay.log.info(
             "Fetching quarantines from a peer failed.",
             extra={"peer": address, "cause": str(error)},
--- a/lycheetide/relay/_tunnels.py
+++ b/lycheetide/relay/_tunnels.py
@@ -3,8 +3,8 @@
 from functools import partial
 
 import anyio
-import msgspec
 
+from lycheetide.exchange import DECODE_ERRORS
 from lycheetide.httpclient import Channel, ChannelConnectError, set_socket_options
 from lycheetide.paths import TunnelAnswer, encode_end, encode_frame, read_request
 from lycheetide.relay._dial import (
@@ -77,7 +77,7 @@
     try:
         with anyio.fail_after(REQUEST_TIMEOUT_S):
             request = await read_request(stream)
-    except (msgspec.MsgspecError, TimeoutError, anyio.EndOfStream, OSError,
+    except (*DECODE_ERRORS, TimeoutError, anyio.EndOfStream, OSError,
             anyio.BrokenResourceError):  # fmt: skip
         relay.counters.add("tunnels.broken_request")
         return
--- a/lycheetide/relay/tests/test_knowledge.py
+++ b/lycheetide/relay/tests/test_knowledge.py
@@ -52,7 +52,10 @@
         assert (await fleet.look()).status_code == 200
 
 
-@pytest.mark.parametrize("broken", [b"", b"{", b'{"version": 9}', b"\xff\xfe"])
+NESTED = [b'{"routes":' + 2_000 * b"[", b'{"unknown":' + 2_000 * b"{"]
+
+
+@pytest.mark.parametrize("broken", [*NESTED, b"", b"{", b'{"version": 9}', b"\xff\xfe"])
 async def test_a_configuration_that_cannot_be_read_changes_nothing(broken):
     """A record is truncated; a node that terminated would cut off its clients."""
     async with RelayDeployment() as fleet:
@@ -517,3 +520,14 @@
             with anyio.fail_after(0.7), pytest.raises(anyio.EndOfStream):
                 await idle.receive()
     assert answers[0].content.count(b"id:") == 20
+
+
+@pytest.mark.parametrize("broken", [*NESTED, b"\xff", b"[]", b'{"slots": "x"}'])
+async def test_a_node_starts_beside_an_entry_that_cannot_be_read(broken):
+    """Guards against one record of another writer that keeps all nodes from serving."""
+    async with RelayDeployment() as fleet:
+        fleet.store.put("keyed.servers", "foreign", broken)
+        late = await fleet.start_relay()
+        assert late.counters.counts["registry.skipped"] >= 1
+        response = await fleet.stream(relay=1)
+        assert response.status_code == 200
