Keep a node that reads a settings file cut within a character

A file that isn't UTF-8, as one cut within a character, ended a node at SIGHUP with exit code 1: UnicodeDecodeError wasn't among the errors of a reload, nor of the look whether the file has changed. It is reported as any other broken file now.

--- a/lycheetide/relay/_reload.py
+++ b/lycheetide/relay/_reload.py
@@ -62,7 +62,7 @@
     """Read the file again, apply what can be changed, and log what can't."""
     try:
         requested = read_settings(path)
-    except OSError as error:
+    except (OSError, ValueError) as error:
         reject_settings(relay, [str(error)])
         return
     except ExceptionGroup as group:
@@ -107,7 +107,7 @@
 def read_text(path):
     """Return a file's text, or an empty string if it can't be read."""
     try:
-        with open(path, encoding="utf-8") as file:
+        with open(path, encoding="utf-8", errors="replace") as file:
             return file.read()
     except OSError:
         return ""
--- a/lycheetide/relay/tests/test_reload.py
+++ b/lycheetide/relay/tests/test_reload.py
@@ -60,6 +60,16 @@
     assert answers[0].content.count(b"id:") == 4
 
 
+async def test_a_file_cut_within_a_character_changes_nothing(tmp_path):
+    """Guards against a settings file that ends a node when it is read again."""
+    path = tmp_path / "node.ini"
+    path.write_bytes("[relay]\nnode = caf\u00e9".encode()[:-1])
+    async with RelayDeployment() as fleet:
+        _reload.reload_settings(fleet.relays[0], str(path))
+        assert fleet.relays[0].counters.counts["settings.broken"] == 1
+        assert _reload.read_text(str(path)).startswith("[relay]")
+
+
 @pytest.mark.parametrize("text", ["", "nonsense", "[relay]\nidle_s = never\n"])
 async def test_a_broken_file_changes_nothing(tmp_path, text):
     """An operator saves an incomplete file; a node that ended would cut clients off."""
