--- a/lycheetide/node/_presence.py
+++ b/lycheetide/node/_presence.py
@@ -31,7 +31,7 @@
 """Crashes in one reply to a heartbeat, and prompts of each."""
 
 
-@dataclass
+@dataclass(eq=False)
 class Presence:
     """A prompt at the process of an engine.
 
--- a/lycheetide/relay/_crash_reports.py
+++ b/lycheetide/relay/_crash_reports.py
@@ -21,6 +21,8 @@
 from lycheetide.relay._fingerprints import find_fingerprint
 from lycheetide.relay._outcomes import Cause
 from lycheetide.relay._presence import (
+    KNOWN_TO_PEERS_S,
+    MAX_PARTS_PER_MESSAGE,
     find_objection_s,
     list_accused,
     read_presence_rows,
@@ -32,9 +34,6 @@
 from lycheetide.relay._state import make_life, read_clock, read_unix_ms
 
 PROPAGATION_MARGIN_S = 0.05
-KNOWN_TO_PEERS_S = 1.0
-"""An objection isn't repeated if the last one is at most this much older."""
-MAX_PARTS_PER_MESSAGE = 48
 MIN_SUPPORT = 2.0
 """Log-likelihood ratio of a part that has crashed replicas before any event."""
 DEFAULT_PATIENCE_S = 30.0
--- a/lycheetide/relay/_presence.py
+++ b/lycheetide/relay/_presence.py
@@ -31,10 +31,10 @@
 MAX_OBJECTION_S = 0.5
 NEVER_S = float("-inf")
 KNOWN_TO_PEERS_S = 1.0
-"""A survived answer isn't told again if the last told is at most this much older."""
+"""What clears a part isn't told again if the last told is at most this much older."""
 
 
-@dataclass
+@dataclass(eq=False)
 class Presence:
     """A prompt at one replica.
 
