Read events from the buffer of a stream, with any line ends and ids

Cause: the reader of events replaced CR LF by LF in each piece of data for itself. If a piece ended between the two bytes, two events became one under the first one's id, and the next one seemed to follow a missing one: the stream was resumed one event too early. By the same thought a stream whose ids rise by more than one was cut off, and one that ends lines with CR never had an event.

Change: one reader (streams/_events.py) for the relay, the engines of the own interface and the load generator. It searches the buffer instead of the piece, takes CR LF, LF, CR and mixes, a byte order mark and comments, and waits for no byte that an event doesn't need. Events are forwarded as they were written, as the protocol asks; before, CR LF became LF. Ids rise and needn't be consecutive, so a number that is left out is no missing event; an id of thousands of digits no longer ends a stream with an error. The soak's replicas end lines in four ways and cut events anywhere.

Why it works: the end of an event is searched in all bytes since the last one, so it can't depend on the pieces (property test over cuts and line ends).

Changed test: an engine's line without end is now an event without end, with the same bounds and one more filler (lines that never end their event); read_lines is gone.

--- a/lycheetide/load/_client.py
+++ b/lycheetide/load/_client.py
@@ -8,9 +8,10 @@
 import httpx
 import msgspec
 
+from lycheetide.streams import EventSplitter, EventTooLongError, find_data
+
 REQUEST_TIMEOUT_S = 600.0
-SSE_DATA_PREFIX = "data: "
-SSE_DONE_LINE = "data: [DONE]"
+DONE_DATA = b"[DONE]"
 
 
 @dataclass(frozen=True)
@@ -130,14 +131,20 @@
 
 async def _read_stream(response, token_times_s):
     """Read a streamed answer and append the time of each token to ``token_times_s``."""
-    async for line in response.aiter_lines():
-        if line == SSE_DONE_LINE:
-            return "answered", ""
-        if not line.startswith(SSE_DATA_PREFIX):
-            continue
-        if line.startswith('data: {"error"'):
-            return _read_error(line[len(SSE_DATA_PREFIX) :])
-        token_times_s.append(time.monotonic())
+    splitter = EventSplitter()
+    async for piece in response.aiter_bytes():
+        try:
+            rows = [find_data(event.data) for event in splitter.split(piece)]
+        except EventTooLongError:
+            return "unknown", "malformed"
+        for data in rows:
+            if data == DONE_DATA:
+                return "answered", ""
+            if data is None:
+                continue
+            if data.startswith(b'{"error"'):
+                return _read_error(data)
+            token_times_s.append(time.monotonic())
     return "unknown", "cut"
 
 
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -18,7 +18,6 @@
     make_failure,
     open_attempt,
 )
-from lycheetide.relay._events import EventSplitter, EventTooLongError
 from lycheetide.relay._evidence import record_failed_attempt
 from lycheetide.relay._hedging import HedgedAttempts
 from lycheetide.relay._outcomes import AttemptFailed, Cause, StreamAborted
@@ -38,6 +37,7 @@
     make_stream_timeout_extension,
 )
 from lycheetide.routes import DEFAULT_ENGINE
+from lycheetide.streams import BYTE_ORDER_MARK, EventSplitter, EventTooLongError
 
 
 @dataclass
@@ -62,6 +62,8 @@
         End of the longest pause, in seconds since the request arrived.
     write_lock : anyio.Lock
         Held while writing to the caller, since attempts may run concurrently.
+    last_byte : bytes
+        Last byte that was forwarded; empty if none was.
     record : callable or None
         Records that an event was written to the caller's connection.
     """
@@ -73,6 +75,7 @@
     first_event_s: float = 0.0
     longest_pause_s: float = 0.0
     longest_pause_at_s: float = 0.0
+    last_byte: bytes = b""
     write_lock: anyio.Lock = field(default_factory=anyio.Lock)
     record: Callable[[float, float], None] | None = None
 
@@ -95,6 +98,8 @@
         Whether the answer has started to arrive.
     events : int
         Number of whole events that arrived.
+    events_forwarded : int
+        Number of those that were forwarded.
     """
 
     replica: str
@@ -103,6 +108,7 @@
     cancel_others: Callable[[], None]
     has_data: bool = False
     events: int = 0
+    events_forwarded: int = 0
 
 
 async def serve_stream(relay, call, reply):
@@ -329,7 +335,7 @@
             raise AttemptFailed(
                 Cause.WRONG_ANSWER, str(endless), may_have_run=True
             ) from endless
-    if splitter.rest.strip():
+    if splitter.is_within_event:
         raise AttemptFailed(
             Cause.BROKEN, "the stream ended within an event", may_have_run=True
         )
@@ -339,34 +345,46 @@
             Cause.BROKEN, "the stream ended before its first event", may_have_run=True
         )
     await check_end(relay, attempt)
+    if splitter.rest:
+        await reply.write(splitter.rest)
 
 
 async def _forward_event(reply, progress, stream_attempt, event):
     """Forward one event unless the caller has received it already.
 
-    Raises
-    ------
-    AttemptFailed
-        If earlier events are missing.
+    Ids rise, but need not be consecutive: a number that is left out is no event that is
+    missing. Whatever an answer contains arrives in the order in which it was sent.
     """
     number = event.number
-    if number is not None and progress.last_number is not None:
-        if number <= progress.last_number:
-            return
-        if number > progress.last_number + 1:
-            raise AttemptFailed(
-                Cause.WRONG_ANSWER,
-                f"event {number} follows event {progress.last_number}, "
-                "the events between are missing",
-                may_have_run=True,
-            )
+    is_known = (
+        number is not None
+        and progress.last_number is not None
+        and number <= progress.last_number
+    )
+    if is_known:
+        return
+    data = event.data
+    if stream_attempt.events_forwarded == 0 and progress.last_byte:
+        data = continue_stream(progress, data)
+    stream_attempt.events_forwarded += 1
     stream_attempt.cancel_others()
-    await reply.write(event.data, progress.record)
+    await reply.write(data, progress.record)
+    progress.last_byte = data[-1:]
     if event.id:
         progress.last_id = event.id
         progress.last_number = number
 
 
+def continue_stream(progress, data):
+    """Return the first event of an answer that continues another one.
+
+    A byte order mark stands for nothing only where a stream begins. A LF completes the
+    line end of the last event, if the former answer ended between the two bytes.
+    """
+    data = data.removeprefix(BYTE_ORDER_MARK)
+    return b"\n" + data if progress.last_byte == b"\r" else data
+
+
 def record_event(relay, call, progress, started_s, ended_s):
     """Record that an event was written to the caller's connection.
 
--- a/lycheetide/upstreams/_engine.py
+++ b/lycheetide/upstreams/_engine.py
@@ -6,16 +6,18 @@
 import msgspec
 
 from lycheetide.scheduling import HeldMemory, LoadReport
-from lycheetide.streams import parse_chunk
+from lycheetide.streams import (
+    EventSplitter,
+    EventTooLongError,
+    find_data,
+    parse_chunk,
+)
 from lycheetide.upstreams._client import raise_for_error, translate_errors
 from lycheetide.upstreams._errors import UpstreamBrokenError
 
 CONTROL_TIMEOUT_S = 2.0
 NO_READ_TIMEOUT = httpx.Timeout(CONTROL_TIMEOUT_S, read=None, write=None)
 """For calls whose maximum silence is enforced by the caller."""
-MAX_LINE_CHARACTERS = 1_048_576
-"""Longest line of an answer; an engine that sends more sends no events."""
-EVENT_DATA_PREFIX = "data: "
 
 
 @dataclass(frozen=True)
@@ -199,39 +201,43 @@
                 raise_for_error(response, _decode_json(await response.aread()))
             headers = response.headers
             on_accepted(headers.get("x-holding-id", ""), headers.get("x-boot-id", ""))
-            async for line in read_lines(response):
+            async for event in read_events(response.aiter_bytes()):
                 silence.end()
-                if line.startswith(EVENT_DATA_PREFIX):
+                data = find_data(event.data)
+                if data is not None:
                     limit_s = between_s
-                    yield _parse_event(line)
+                    yield _parse_chunk(data)
                 silence.begin(limit_s)
             silence.end()
         finally:
             await response.aclose()
 
 
-async def read_lines(response):
-    """Yield the lines of an answer.
+async def read_events(pieces):
+    """Yield the events of an answer as soon as they are whole.
+
+    Parameters
+    ----------
+    pieces : asynchronous iterator of bytes
+        The answer, cut anywhere. What follows the last whole event is no event.
 
     Raises
     ------
     UpstreamBrokenError
-        If a line is longer than ``MAX_LINE_CHARACTERS``.
+        If an event is too long.
     """
-    rest = ""
-    async for text in response.aiter_text():
-        *lines, rest = (rest + text).split("\n")
-        for line in lines:
-            yield line.removesuffix("\r")
-        if len(rest) > MAX_LINE_CHARACTERS:
-            raise UpstreamBrokenError(f"a line of over {len(rest)} characters")
-    if rest:
-        yield rest
-
-
-def _parse_event(line):
-    """Parse the chunk in the data line of an event."""
+    splitter = EventSplitter()
+    async for piece in pieces:
+        try:
+            for event in splitter.split(piece):
+                yield event
+        except EventTooLongError as endless:
+            raise UpstreamBrokenError(str(endless)) from endless
+
+
+def _parse_chunk(data):
+    """Parse the chunk in the data of an event."""
     try:
-        return parse_chunk(line[len(EVENT_DATA_PREFIX) :])
+        return parse_chunk(data)
     except msgspec.MsgspecError as error:
         raise UpstreamBrokenError(f"malformed chunk: {error}") from error
--- a/lycheetide/upstreams/tests/test_client.py
+++ b/lycheetide/upstreams/tests/test_client.py
@@ -4,6 +4,7 @@
 import pytest
 
 from lycheetide.fleet import Upstream
+from lycheetide.streams import find_data
 from lycheetide.upstreams import (
     ServiceCall,
     UpstreamBrokenError,
@@ -13,7 +14,7 @@
     call_service,
     make_http_client,
 )
-from lycheetide.upstreams._engine import read_lines
+from lycheetide.upstreams._engine import read_events
 from standins.local import find_port
 
 REFUSAL = b'{"error": "busy", "started": false}'
@@ -98,25 +99,41 @@
     assert raised.value.may_have_started is False
 
 
-def test_a_line_without_end_is_given_up():
+@pytest.mark.parametrize("filler", [b"x" * 4_096, b"data: x\r\n" * 512])
+def test_an_event_without_end_is_given_up(filler):
     """Guards against an engine whose bytes a node collects until it has no memory."""
     sent = 0
 
-    class Endless:
-        async def aiter_text(self):
-            nonlocal sent
-            yield "data: 1\r\ndata: 2\n"
-            while True:
-                sent += 4_096
-                yield "x" * 4_096
+    async def send_without_end():
+        nonlocal sent
+        yield b"data: 1\r\n\r\ndata: 2\n\n"
+        while True:
+            sent += len(filler)
+            yield filler
 
-    lines = []
+    events = []
 
     async def read():
-        async for line in read_lines(Endless()):
-            lines.append(line)
+        async for event in read_events(send_without_end()):
+            events.append(find_data(event.data))
 
     with pytest.raises(UpstreamBrokenError):
         anyio.run(read)
-    assert lines == ["data: 1", "data: 2"]
+    assert events == [b"1", b"2"]
     assert sent < 2_000_000
+
+
+@pytest.mark.parametrize("end", [b"\n", b"\r\n", b"\r"])
+def test_an_engine_may_end_its_lines_in_any_way_and_send_single_bytes(end):
+    """Guards against chunks that are lost or joined where the bytes are cut."""
+    stream = b": hello" + end + end
+    stream += b"".join(b"data:%d" % number + end + end for number in range(3))
+
+    async def send():
+        for byte in stream:
+            yield bytes([byte])
+
+    async def read():
+        return [find_data(event.data) async for event in read_events(send())]
+
+    assert anyio.run(read) == [None, b"0", b"1", b"2"]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -54,7 +54,10 @@
 """At nodes that are cut from all replicas, attempts are served at least this share as
 often as at the others, unless no more than these fail there."""
 
-_EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: token (\d+) ([0-9a-f]+)\n\n")
+_LINE_END = rb"(?>\r\n|\n|\r)"
+_EVENT_PATTERN = re.compile(
+    rb"id: (\d+)" + _LINE_END + rb"data: token (\d+) ([0-9a-f]+)" + _LINE_END * 2
+)
 
 
 @dataclass(frozen=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,6 +3,7 @@
 import random
 import time
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 
@@ -40,6 +41,11 @@
 BURST_COUNT = 1
 FATAL_CALLER_COUNT = 2
 FRAMINGS = ("chunks", "close", "chunks-close")
+LINE_ENDS = ((b"\n",), (b"\r\n",), (b"\r",), (b"\r\n", b"\n"))
+MAX_CUTS = 3
+"""Largest number of random places at which an event is cut into pieces."""
+LAST_BYTE_SHARE = 0.5
+"""Share of events that are cut before their last byte too."""
 MOMENTS = ("request", "head", "events")
 PART_MOMENTS = ("any", "first", "head", "last", "events", "end")
 PART_CRASH_DELAY_S = 0.02
@@ -144,6 +150,7 @@
             group.start_soon(run_caller, deployment, attempts, rng, name, kinds)
 
     async with Deployment(nodes=nodes, stop_s=stop_s) as deployment:
+        vary_events(deployment, seed)
         faults = FaultInjector(deployment)
         async with anyio.create_task_group() as callers:
             callers.start_soon(_record_stalls, stalls)
@@ -192,6 +199,23 @@
     return RunResult(seed, broken, len(attempts), served, shown, folder, stalls)
 
 
+def vary_events(deployment, seed):
+    """Let replicas end their lines in different ways, and cut their events anywhere."""
+    for index, replica in enumerate(deployment.replicas):
+        replica.line_ends = LINE_ENDS[(seed + index) % len(LINE_ENDS)]
+        replica.draw_cuts = partial(
+            draw_cuts, random.Random(f"{seed}/cuts/{replica.name}")
+        )
+
+
+def draw_cuts(rng, event):
+    """Return up to ``MAX_CUTS`` places in an event, often that before its last byte."""
+    places = {rng.randrange(1, len(event)) for _ in range(rng.randint(0, MAX_CUTS))}
+    if rng.random() < LAST_BYTE_SHARE:
+        places.add(len(event) - 1)
+    return sorted(places)
+
+
 def add_bad_part(deployment):
     """Let replicas crash on a part, at various moments; their streams end variously."""
     for index, replica in enumerate(deployment.replicas):
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -7,7 +7,7 @@
 import json
 import time
 from dataclasses import replace
-from itertools import count
+from itertools import count, cycle, islice, pairwise
 from zlib import crc32
 
 import anyio
@@ -17,6 +17,8 @@
 RESPONSE_SEAL = "3e1b.07"
 HEALTH_PATH = "/health"
 CRASH_MOMENTS = ("request", "head", "first", "events", "last", "end")
+PIECE_PAUSE_S = 0.001
+"""Pause after a piece of an event, so that it is read before the next one."""
 ENTRY_LEASE_S = 1.0
 """How long the entry of a replica that has crashed stays in the registry."""
 
@@ -36,6 +38,19 @@
     return f"id: {number}\ndata: {data}\n\n".encode()
 
 
+def replace_line_ends(event, line_ends):
+    """Return an event whose lines end as given, each line in turn."""
+    lines = event.split(b"\n")[:-1]
+    ends = islice(cycle(line_ends), len(lines))
+    return b"".join(line + end for line, end in zip(lines, ends, strict=True))
+
+
+def cut_at(data, places):
+    """Return the pieces of data between some places, which are in order."""
+    bounds = [0, *places, len(data)]
+    return [data[a:b] for a, b in pairwise(bounds) if a < b]
+
+
 def chunk(data):
     """Encode bytes as one chunk of a chunked body."""
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
@@ -112,6 +127,13 @@
     framing : str
         How its streams end: "chunks"; "chunks-close", after which it closes the
         connection; or "close", where only the end of the connection ends them.
+    line_ends : tuple of bytes
+        How the lines of its events end, each line in turn.
+    id_step : int
+        Difference between the ids of two events.
+    draw_cuts : callable or None
+        Takes an event, and returns the places at which it is cut into pieces that are
+        sent apart, in order; None to send it whole.
     http_version : str
         Version of HTTP that the heads of its streams name.
     crash_part : str
@@ -165,6 +187,9 @@
         self.resets_reused_connections = False
         self.framing = "chunks"
         self.http_version = "1.1"
+        self.line_ends = (b"\n",)
+        self.id_step = 1
+        self.draw_cuts = None
         self.crash_part = ""
         self.crash_on = None
         self.crash_moment = "head"
@@ -369,7 +394,7 @@
             lines.append("Connection: close")
         status_line = f"HTTP/{self.http_version} 200 OK"
         text = "\r\n".join([status_line, *lines, "", ""])
-        start = int(request.headers.get("last-event-id", 0))
+        start = int(request.headers.get("last-event-id", 0)) // self.id_step
         signature = f" {head['Lycheetide-Attempt-Id']}" if self.adds_attempt_ids else ""
         try:
             async with anyio.create_task_group() as group:
@@ -396,7 +421,9 @@
                     if step == "pause" and number == start + 3:
                         await anyio.sleep(self.long_pause_s)
                     await self.wait_before_writing()
-                    event = make_event(number, signature, size=self.event_bytes)
+                    event = make_event(
+                        number * self.id_step, signature, size=self.event_bytes
+                    )
                     await self._send_event(stream, event)
                     if number == start + 1:
                         await self._crash_if_due(request, "first")
@@ -432,8 +459,13 @@
 
     async def _send_event(self, stream, event):
         """Send an event; reset the connection if it stays unread for too long."""
+        event = replace_line_ends(event, self.line_ends)
+        places = self.draw_cuts(event) if self.draw_cuts is not None else ()
         with anyio.move_on_after(self.unread_limit_s) as scope:
-            await stream.send(self._frame(event))
+            for piece in cut_at(event, places):
+                await stream.send(self._frame(piece))
+                if places:
+                    await anyio.sleep(PIECE_PAUSE_S)
         if scope.cancelled_caught:
             self.cut_unread += 1
             raise ConnectionReset
