Ask for operators' records beside the reads that wait for them

Cause: a read that waits at the store and whose answer is lost looks like one without news until it times out after 21 s. All nodes that wait may lose the same answer; then no peer is ahead, and the reads of the registry go on.

Change: one node, that which reads the registry, asks for new records at 0.4 of the time in which they must be in force (config_apply_ms, 2 s) on a connection of its own. Reads that wait are given up 0.25 s after another read or a peer has returned a record; this replaces the two looks of the heartbeats' task. Connecting to the store and reading a body no longer get the time of the wait. New: a log line and a counter of overtaken reads, without which a lost read couldn't be told from a late use of its records.

Why it works: the bound follows from the rule. An answer that is due at once can't be lost unnoticed, and its loss is repeated within 1.6 s.

--- a/lycheetide/platform/_store.py
+++ b/lycheetide/platform/_store.py
@@ -99,7 +99,9 @@
             f"&maxKb={MAX_READ_KB}&waitMs={int(wait_s * 1000)}"
         )
         self._note_call("wait" if wait_s else "read")
-        answer = await self._call("GET", target, b"", timeout_s=wait_s + timeout_s)
+        answer = await self._call(
+            "GET", target, b"", wait_s=wait_s, timeout_s=timeout_s
+        )
         if answer.status == 410:
             return await self.list(topic, timeout_s=timeout_s)
         self._check(answer, target)
@@ -169,8 +171,11 @@
         if answer.status != 200:
             raise StoreUnavailable(f"{target}: got status {answer.status}")
 
-    async def _call(self, method, target, body, *, timeout_s):
-        """Make one call; the connection is closed if anything goes wrong."""
+    async def _call(self, method, target, body, *, timeout_s, wait_s=0.0):
+        """Make one call; the connection is closed if anything goes wrong.
+
+        Only the head of the answer may take ``wait_s`` longer than ``timeout_s``.
+        """
         whole = False
         try:
             if self._channel is None or not self._channel.is_alive():
@@ -182,7 +187,7 @@
             outgoing = OutgoingRequest(
                 method.encode(), target.encode(), tuple(headers), body
             )
-            head = await self._channel.request(outgoing, timeout_s=timeout_s)
+            head = await self._channel.request(outgoing, timeout_s=wait_s + timeout_s)
             content = await self._channel.read_all(timeout_s=timeout_s)
             whole = self._channel.is_reusable
             return _StoreResponse(head.status, content)
--- a/lycheetide/relay/_follow.py
+++ b/lycheetide/relay/_follow.py
@@ -10,6 +10,7 @@
 from lycheetide.relay._peer_state import read_from_peer, wait_for_peer_ahead
 from lycheetide.relay._roles import (
     is_hub,
+    must_check_operator,
     must_read_registry,
     must_wait_for_operator_records,
 )
@@ -42,6 +43,13 @@
 these."""
 POLL_S = 0.25
 """Interval at which a node checks whether it must wait for operator records itself."""
+CHECK_SHARE = 0.4
+"""Interval between two questions for new operator records, as a share of the time in
+which all nodes must act on them. The rest is for a slow answer and for the way to the
+other nodes."""
+OVERTAKEN_S = 0.25
+"""How long a read that waits at the store still has to return a record that another
+read, or a peer, has returned already."""
 MIN_OUTAGE_S = 1.5
 """Reads that failed for this long count as an outage, in which entries may have
 expired."""
@@ -61,11 +69,7 @@
             # store is asked to wait only after it has answered again.
             has_failed = relay.operator.failures > 0
             wait_s = 0.0 if has_failed else relay.settings.operator_wait_s
-            with anyio.CancelScope() as relay.operator_read_scope:
-                await read_once(relay, store, "operator", wait_s=wait_s)
-            was_cancelled = relay.operator_read_scope.cancelled_caught
-            relay.operator_read_scope = None
-            if was_cancelled:
+            if not await read_unless_overtaken(relay, store, wait_s=wait_s):
                 await read_from_peer(relay, "operator")
         elif relay.is_behind_peers(now_s=read_clock()):
             await catch_up(relay, store)
@@ -79,6 +83,83 @@
             await anyio.sleep(CONFIG_DEBOUNCE_S)
 
 
+async def read_unless_overtaken(relay, store, *, wait_s):
+    """Wait for operator records; return whether the read wasn't given up."""
+    async with anyio.create_task_group() as group:
+        relay.operator_read_scope = group.cancel_scope
+        group.start_soon(_cancel_overtaken_read, relay, group.cancel_scope)
+        await read_once(relay, store, "operator", wait_s=wait_s)
+        relay.operator_read_scope = None
+        group.cancel_scope.cancel()
+        return True
+    relay.operator_read_scope = None
+    return False
+
+
+async def _cancel_overtaken_read(relay, scope):
+    """Cancel a read that doesn't return what another read or a peer has returned.
+
+    Its answer is lost, or the store serves only other nodes.
+    """
+    offset, begun_s = relay.operator.offset, read_clock()
+    while True:
+        relay.operator_update = anyio.Event()
+        await relay.operator_update.wait()
+        await anyio.sleep(OVERTAKEN_S)
+        now_s = read_clock()
+        if relay.operator.offset > offset or relay.is_behind_peers(now_s=now_s):
+            relay.counters.add("store.overtaken.operator")
+            relay.log.warning(
+                "A read that waits for operator records was overtaken.",
+                extra={
+                    "offset": offset,
+                    "waited_ms": round((now_s - begun_s) * 1e3),
+                    "is_peer_ahead": relay.is_behind_peers(now_s=now_s),
+                },
+            )
+            scope.cancel()
+            return
+
+
+async def check_operator(relay):
+    """Ask for new operator records at an interval, forever, at one node of the fleet.
+
+    A read that waits and whose answer is lost looks like one without news, and all
+    nodes that wait may lose the same answer. An answer that is due at once can't be
+    lost unnoticed, and reaches the other nodes as that of any read.
+    """
+    store = relay.make_store_client("check")
+    interval_s = CHECK_SHARE * relay.settings.config_apply_ms / 1e3
+    while True:
+        await anyio.sleep(interval_s)
+        while must_check_operator(relay, now_s=read_clock()):
+            if await check_once(relay, store):
+                break
+            await anyio.sleep(relay.random.uniform(0.5, 1.5) * RETRY_BASE_S)
+
+
+async def check_once(relay, store):
+    """Ask for new operator records; return whether the store has answered."""
+    source = relay.operator
+    try:
+        batch = await store.read(
+            relay.adapter.OPERATOR_TOPIC,
+            source.offset,
+            wait_s=0.0,
+            timeout_s=STORE_TIMEOUT_S,
+        )
+    except StoreUnavailable as error:
+        record_read_failure(relay, "operator", source, error)
+        return False
+    now_s = read_clock()
+    record_answer(relay, "operator", now_s=now_s)
+    if batch.end > source.offset:
+        apply_batch(relay, "operator", batch, now_s=now_s)
+        relay.operator_update.set()
+    source.complete_until_s = now_s
+    return True
+
+
 async def catch_up(relay, store):
     """Fetch newer operator records from a peer or, failing that, from the store."""
     offset = relay.operator.offset
@@ -125,16 +206,11 @@
     now_s = read_clock()
     if wait_s == 0:
         relay.metrics_exporter.observe("store_call", now_s - begun_s, kind=name)
-    if not source.is_reachable:
-        relay.log.info("The store answers.", extra={"topic": name})
-        if was_full_outage(relay, source, now_s=now_s):
-            source.outage_ended_s = now_s
     if name == "registry" and source.failures and relay.operator_read_scope is not None:
         # The waiting read for a configuration may have been sent while the store was
         # silent. It would never be answered, and would delay the next version.
         relay.operator_read_scope.cancel()
-    source.is_reachable = True
-    source.failures = 0
+    record_answer(relay, name, now_s=now_s)
     apply_batch(relay, name, batch, now_s=now_s)
 
 
@@ -176,6 +252,17 @@
     return all(peer.registry_read_s <= since_s for peer in relay.peers.peers.values())
 
 
+def record_answer(relay, name, *, now_s):
+    """Record that the store has answered a read of one topic."""
+    source = getattr(relay, name)
+    if not source.is_reachable:
+        relay.log.info("The store answers.", extra={"topic": name})
+        if was_full_outage(relay, source, now_s=now_s):
+            source.outage_ended_s = now_s
+    source.is_reachable = True
+    source.failures = 0
+
+
 def record_read_failure(relay, name, source, error):
     """Record a failed read of one topic."""
     relay.counters.add(f"store.failed.{name}")
--- a/lycheetide/relay/_messaging.py
+++ b/lycheetide/relay/_messaging.py
@@ -462,20 +462,10 @@
         ]
 
     async def expire(self, _):
-        """Remove requests of dead nodes, and close old idle connections.
-
-        Also cancels a waiting read of operator records if a peer has had newer ones for
-        two checks in a row. The connection to the store has then gone silent, or the
-        store serves only other nodes.
-        """
-        was_behind = False
+        """Remove requests of dead nodes, and close old idle connections."""
         while True:
             await anyio.sleep(EXPIRE_INTERVAL_S)
             now_s = read_clock()
-            is_behind = self.relay.is_behind_peers(now_s=now_s)
-            if is_behind and was_behind and self.relay.operator_read_scope is not None:
-                self.relay.operator_read_scope.cancel()
-            was_behind = is_behind
             living = self.relay.list_alive_nodes(now_s=now_s)
             dead = self.relay.peers.list_dead(now_s=now_s)
             silent: set[str] = set()
--- a/lycheetide/relay/_roles.py
+++ b/lycheetide/relay/_roles.py
@@ -97,6 +97,14 @@
     return before < OPERATOR_READERS
 
 
+def must_check_operator(relay, *, now_s):
+    """Tell whether this node asks for new operator records besides those that wait.
+
+    One node does, that which reads the registry. If its reads fail, the next one does.
+    """
+    return relay.operator.offset >= 0 and is_registry_reader(relay, now_s=now_s)
+
+
 def must_read_registry(relay, *, now_s):
     """Tell whether this node must read the registry itself now."""
     source = relay.registry
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -12,7 +12,11 @@
 from lycheetide.metrics import read_process_age_s
 from lycheetide.relay._datagrams import make_listener
 from lycheetide.relay._dial import connect_replica, may_reuse
-from lycheetide.relay._follow import follow_operator, follow_registry
+from lycheetide.relay._follow import (
+    check_operator,
+    follow_operator,
+    follow_registry,
+)
 from lycheetide.relay._ingress import make_caller_app, make_readiness_app
 from lycheetide.relay._listener import GuardedConfig
 from lycheetide.relay._messaging import PeerMessenger, discover
@@ -126,6 +130,7 @@
         relay.tasks = GuardedTasks(group, relay.counters)
         for part in (
             follow_operator,
+            check_operator,
             follow_registry,
             follow_paces,
             follow_quarantines,
--- a/lycheetide/settings/_relay.py
+++ b/lycheetide/settings/_relay.py
@@ -28,6 +28,8 @@
     ``link_mbps`` is the bandwidth of the host's network link; 0 if it is unknown.
     ``tunnel_address`` is where the node carries connections to replicas for peers that
     don't reach them, at the IP address of ``peer_address``; empty for not at all.
+    ``config_apply_ms`` is the time within which all nodes must act on a new record of
+    an operator after the store has acknowledged it, in milliseconds.
     ``contracts`` are the parts of the platform's rules that are in force, and
     ``memory_mb`` is the memory that this process may use; 0 if it is unknown.
     """
@@ -52,6 +54,7 @@
     log_lines_per_s: float = 60.0
     idle_s: float = 30.0
     operator_wait_s: float = 20.0
+    config_apply_ms: float = 2_000.0
     registry_interval_s: float = 0.5
     out_of_touch_s: float = 10.0
     retry_ratio: float = 0.2
@@ -83,6 +86,7 @@
     Field("relay", "memory_mb", number_between(0.0, 1e7)),
     Field("relay", "idle_s", number_between(0.5, 3600.0)),
     Field("relay", "operator_wait_s", number_between(0.0, 30.0)),
+    Field("relay", "config_apply_ms", number_between(100.0, 600_000.0)),
     Field("relay", "registry_interval_s", number_between(0.05, 60.0)),
     Field("relay", "out_of_touch_s", number_between(1.0, 3600.0)),
     Field("retries", "retry_ratio", number_between(0.0, 10.0)),
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
     FAULT_COUNT,
     FAULT_PHASE_S,
     LINK_CUT_COUNT,
+    LOSS_COUNT,
     QUIET_COUNT,
     run_soak,
 )
@@ -31,6 +32,7 @@
     parser.add_argument("--demands", type=int, default=DEMAND_COUNT)
     parser.add_argument("--link-cuts", type=int, default=LINK_CUT_COUNT)
     parser.add_argument("--bursts", type=int, default=BURST_COUNT)
+    parser.add_argument("--losses", type=int, default=LOSS_COUNT)
     parser.add_argument(
         "--sound", action="store_true", help="send no requests that crash replicas"
     )
@@ -66,6 +68,7 @@
         demands=args.demands,
         link_cuts=args.link_cuts,
         bursts=args.bursts,
+        losses=args.losses,
         has_bad_part=not args.sound,
         has_fatal_requests=not args.sound,
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -492,6 +492,22 @@
         self.revoked.append(time.monotonic())
         return []
 
+    async def _lost_waits(self, fault):
+        """Make the store lose its answers to reads that wait for a record."""
+        return await self._lose_answers(fault, lambda target: "waitMs=0" not in target)
+
+    async def _lost_answers(self, fault):
+        """Make the store carry out calls, and lose its answers."""
+        return await self._lose_answers(fault, lambda target: True)
+
+    async def _lose_answers(self, fault, is_lost):
+        """Make the store lose some answers; their connections stay silent for good."""
+        store = self.deployment.store
+        store.loses = is_lost
+        await anyio.sleep(fault.duration_s)
+        store.loses = lambda target: False
+        return ["store"]
+
     async def _store_busy(self, fault):
         """Make the store refuse all calls while some registry entries expire."""
         return await self._make_store_unavailable("busy", fault)
--- a/soak/run.py
+++ b/soak/run.py
@@ -30,6 +30,7 @@
     generate_demands,
     generate_faults,
     generate_link_cuts,
+    generate_losses,
     generate_silences,
 )
 
@@ -39,6 +40,7 @@
 DEMAND_COUNT = 6
 LINK_CUT_COUNT = 3
 BURST_COUNT = 1
+LOSS_COUNT = 2
 FATAL_CALLER_COUNT = 2
 FRAMINGS = ("chunks", "close", "chunks-close")
 LINE_ENDS = ((b"\n",), (b"\r\n",), (b"\r",), (b"\r\n", b"\n"))
@@ -97,6 +99,7 @@
     demands=0,
     link_cuts=0,
     bursts=0,
+    losses=0,
     has_bad_part=False,
     has_fatal_requests=False,
 ):
@@ -121,6 +124,8 @@
         Number of cuts between nodes and replicas, likewise.
     bursts : int
         Number of times in which nearly all new connections go to one node.
+    losses : int
+        Number of losses of the store's answers, likewise.
     has_bad_part : bool
         Whether callers send prompts with a part that crashes replicas while there are
         faults. Replicas then end their streams in different ways.
@@ -133,7 +138,8 @@
     schedule += generate_demands(seed, seconds=seconds, count=demands)
     schedule += generate_link_cuts(seed, seconds=seconds, count=link_cuts)
     schedule += generate_bursts(seed, seconds=seconds, count=bursts)
-    if quiets or demands or link_cuts or bursts:
+    schedule += generate_losses(seed, seconds=seconds, count=losses)
+    if quiets or demands or link_cuts or bursts or losses:
         schedule.sort(key=lambda fault: fault.at_s)
     kinds, stop_s = CALL_KINDS, STOP_S
     if quiets:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -20,6 +20,11 @@
 """From a cut that is hardly noticed before it ends to one that outlasts all rests."""
 LINK_REPEAT_SHARE = 0.4
 """Fraction of the cuts that come back soon after they have ended."""
+LOSS_FAULTS = ("lost_waits", "lost_waits", "lost_answers")
+LOSS_CHANGES = ("revoke", "domain_out", "configure")
+LOSS_RANGE_S = (0.3, 2.5)
+LOSS_REPEAT_SHARE = 0.5
+"""Fraction of the losses that come back soon after they have ended."""
 SILENCE_FAULTS = ("quiet_one", "quiet_some", "quiet_all")
 SILENCE_RANGE_S = (0.4, 1.75)
 """From a gap that nodes always wait out to just below the timeout of callers."""
@@ -132,6 +137,32 @@
     return faults
 
 
+def generate_losses(seed, *, seconds, count):
+    """Return losses of the store's answers, each with an operator's change meanwhile.
+
+    They use a separate random generator, as silences do.
+
+    Parameters
+    ----------
+    seed, seconds, count
+        As in ``generate_faults``.
+    """
+    rng = random.Random(f"{seed}/losses")
+    faults = []
+    for _ in range(count):
+        at_s = rng.uniform(0.0, seconds)
+        kind = rng.choice(LOSS_FAULTS)
+        duration_s = rng.uniform(*LOSS_RANGE_S)
+        faults.append(Fault(at_s, kind, 0, duration_s))
+        beside_s = at_s + rng.uniform(0.0, duration_s)
+        change = rng.choice(LOSS_CHANGES)
+        faults.append(Fault(beside_s, change, rng.randrange(1 << 16), 1.0))
+        if rng.random() < LOSS_REPEAT_SHARE:
+            again_s = at_s + duration_s + rng.uniform(0.1, 2.0)
+            faults.append(Fault(again_s, kind, 0, rng.uniform(*LOSS_RANGE_S)))
+    return faults
+
+
 def generate_bursts(seed, *, seconds, count):
     """Return times in which nearly all new connections go to one node.
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -71,3 +71,8 @@
 def test_short_run_with_demands_of_replicas_has_no_violations():
     """Replicas name limits, ask for rest and leave, beside kills and restarts."""
     anyio.run(lambda: check(39, seconds=5.0, count=5, demands=DEMAND_COUNT))
+
+
+def test_short_run_with_lost_answers_of_the_store_has_no_violations():
+    """Guards against revoked keys and closed domains that live on in lost reads."""
+    anyio.run(lambda: check(6605, seconds=5.0, count=3, losses=3))
--- a/standins/store.py
+++ b/standins/store.py
@@ -46,12 +46,19 @@
     down : str
         Empty in normal operation; "busy" answers all calls with status 503, "silent"
         never answers them.
+    loses : callable
+        Takes the target of a call that was carried out, and tells whether its answer is
+        lost. The connection then returns nothing further.
+    lost : int
+        Number of answers that were lost.
     """
 
     def __init__(self):
         self.topics = {}
         self.calls = []
         self.down = ""
+        self.loses = lambda target: False
+        self.lost = 0
         self.changed = anyio.Event()
         self.server = HttpServer(self.answer)
 
@@ -92,7 +99,15 @@
             old.put(key, value)
 
     async def answer(self, request):
-        """Handle one call."""
+        """Handle one call; its answer may be lost."""
+        answer = await self._answer(request)
+        if self.loses(request.target):
+            self.lost += 1
+            await anyio.sleep_forever()
+        return answer
+
+    async def _answer(self, request):
+        """Carry out one call."""
         self.calls.append(request.target)
         if self.down == "silent":
             await anyio.sleep_forever()
