Ask who listens after an answer that ends with its connection

Cause: an answer without a length or chunks that ends in an orderly way may have been ended by its process. The check for that only opened a connection, which the next process at the address accepts as well. Streams end in the same check.

Change: the process is asked who it is, as after a crash, and the registry is asked for another one at the address. If it is another one, the answer isn't whole: a request that may be repeated is, a stream goes on elsewhere, a booking gets 502.

Why it works: the identity of a start is in its answer to a report or a health question; that another process listens no longer hides the crash.

--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -5,11 +5,12 @@
 from typing import Any
 
 from lycheetide.exchange import ReplicaResponse
-from lycheetide.gossip import Ended, JobPart, Started, make_job, make_sent_ms
+from lycheetide.gossip import Ended, JobPart, Life, Started, make_job, make_sent_ms
 from lycheetide.httpclient import ChannelConnectError, ChannelError, compute_idle_limit
 from lycheetide.placement import Placement
 from lycheetide.relay._admission import find_announced_customer, record_usage
 from lycheetide.relay._call import find_admission_priority
+from lycheetide.relay._crash_checks import ask_process, has_successor
 from lycheetide.relay._dial import (
     CONNECT_TIMEOUT_S,
     connect_replica,
@@ -25,7 +26,7 @@
     note_generation,
 )
 from lycheetide.relay._retries import spend_retry
-from lycheetide.relay._state import read_clock
+from lycheetide.relay._state import make_life, read_clock
 
 LATE_SEND_S = 0.05
 """A request that is sent this much later than it was announced is announced again: the
@@ -41,6 +42,7 @@
     channel: Any
     answer: ReplicaResponse
     placement: Placement
+    life: Life
 
 
 def make_parts(call, placement):
@@ -176,7 +178,7 @@
                 relay.paths.note_received(entry.address, now_s=read_clock())
             record_response(relay, entry, answer, sent_s=sent_s)
             check_answer(call, answer)
-            attempt = Attempt(channel, answer, placement)
+            attempt = Attempt(channel, answer, placement, make_life(entry))
             yield attempt
             whole = channel.is_reusable and not _closes_connection(answer)
         finally:
@@ -339,12 +341,14 @@
     """Check that an answer didn't end because its replica's process did.
 
     A process that ends closes its connections in an orderly way. An answer without a
-    length or chunks then looks whole.
+    length or chunks then looks whole. The next process may listen at its address, so
+    the one that listens is asked who it is.
 
     Raises
     ------
     AttemptFailed
-        If no connection to the replica can be opened any more.
+        If no connection to the replica can be opened any more, or if another process is
+        at its address.
     """
     if not is_close_delimited(attempt.answer):
         return
@@ -358,7 +362,13 @@
         raise AttemptFailed(
             Cause.BROKEN, "the replica ended with its answer", may_have_run=True
         ) from error
-    await another.aclose()
+    is_alive = await ask_process(relay, attempt.life, another)
+    if is_alive is False or has_successor(relay, attempt.life, channel.address):
+        raise AttemptFailed(
+            Cause.BROKEN,
+            "another process is in place of the replica's",
+            may_have_run=True,
+        )
 
 
 def _closes_connection(answer):
--- a/lycheetide/relay/tests/test_close_delimited.py
+++ b/lycheetide/relay/tests/test_close_delimited.py
@@ -139,6 +139,28 @@
         assert b"".join(received) == WHOLE_STREAM
 
 
+@pytest.mark.parametrize("path", ["/stream/s", "/stream-once/s"])
+async def test_a_stream_whose_replica_restarts_at_its_address_is_not_whole(path):
+    """Guards against a crash that the next process at the same address hides."""
+    async with RelayDeployment() as fleet:
+        for replica in fleet.replicas:
+            replica.framing, replica.pause_s = "close", 0.1
+        is_cut = False
+        try:
+            async with fleet.open_stream(path=path) as response:
+                chunks = response.aiter_bytes()
+                received = [await anext(chunks)]
+                (running,) = (one for one in fleet.replicas if one.runs)
+                running.name = "another-start"
+                await running.server.close_open()
+                received += [chunk async for chunk in chunks]
+        except httpx.RemoteProtocolError:
+            is_cut = True
+    events = b"".join(received).count(b"id: ")
+    assert is_cut == (path == "/stream-once/s")
+    assert is_cut or events == 4
+
+
 def expect_end(path):
     """Return a context in which a stream that may not be resumed breaks off."""
     if path == "/stream/s":
--- a/standins/http.py
+++ b/standins/http.py
@@ -119,6 +119,10 @@
         Rate at which request bodies are read; 0 for no limit.
     is_mute : bool
         Whether connections are accepted, and closed with nothing read.
+    on_head : callable or None
+        Coroutine function called with the headers of each request, before its body is
+        read, and the stream; tells whether the connection ends there, unless it raises
+        ``ConnectionReset``.
     """
 
     def __init__(self, handle, *, passes_stream=False):
@@ -128,6 +132,7 @@
         self.connections = 0
         self.body_bytes_per_s = 0.0
         self.is_mute = False
+        self.on_head: Any = None
         self._open = set()
 
     @asynccontextmanager
@@ -167,6 +172,10 @@
     async def mute(self):
         """Close all connections, and each new one, until ``is_mute`` is reset."""
         self.is_mute = True
+        await self.close_open()
+
+    async def close_open(self):
+        """Close all connections in an orderly way, as the end of a process does."""
         for stream in list(self._open):
             await stream.aclose()
 
@@ -188,6 +197,10 @@
                     return None
             elif isinstance(event, h11.Request):
                 head = event
+                if self.on_head is not None:
+                    headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
+                    if await self.on_head(headers, stream):
+                        return None
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -19,6 +19,8 @@
 CRASH_MOMENTS = ("request", "head", "first", "events", "last", "end")
 PIECE_PAUSE_S = 0.001
 """Pause after a piece of an event, so that it is read before the next one."""
+MIN_EARLY_BYTES = 100_000
+EARLY_PAUSE_S = 0.02
 ENTRY_LEASE_S = 1.0
 """How long the entry of a replica that has crashed stays in the registry."""
 
@@ -134,6 +136,10 @@
     draw_cuts : callable or None
         Takes an event, and returns the places at which it is cut into pieces that are
         sent apart, in order; None to send it whole.
+    early_end : str
+        How it ends the answers that it sends to long requests before it has read them,
+        as successes without a length of which a part is missing: "reset", "close" or
+        "half" (its half of the connection only, for a while); empty for none.
     http_version : str
         Version of HTTP that the heads of its streams name.
     crash_part : str
@@ -190,6 +196,7 @@
         self.line_ends = (b"\n",)
         self.id_step = 1
         self.draw_cuts = None
+        self.early_end = ""
         self.crash_part = ""
         self.crash_on = None
         self.crash_moment = "head"
@@ -201,6 +208,7 @@
         self._crash = anyio.Event()
         self._used_connections = set()
         self.server = HttpServer(self.answer, passes_stream=True)
+        self.server.on_head = self._answer_early
 
     @property
     def address(self):
@@ -276,6 +284,26 @@
             return response
         return replace(response, headers=self.make_state_headers() | response.headers)
 
+    async def _answer_early(self, headers, stream):
+        """Answer a long request before it is read; tell whether it was answered."""
+        size = int(headers.get("content-length", 0))
+        if not self.early_end or size < MIN_EARLY_BYTES:
+            return False
+        attempt = headers.get("lycheetide-attempt-id", "")
+        self.runs.append(attempt)
+        lines = [
+            "HTTP/1.1 200 OK", f"Lycheetide-Attempt-Id: {attempt}",
+            f"Lycheetide-Response-Seal: {RESPONSE_SEAL}", "", "half of the body",
+        ]  # fmt: skip
+        await stream.send("\r\n".join(lines).encode())
+        await anyio.sleep(EARLY_PAUSE_S)
+        if self.early_end == "reset":
+            raise ConnectionReset
+        if self.early_end == "half":
+            await stream.send_eof()
+            await anyio.sleep(EARLY_PAUSE_S)
+        return True
+
     def make_state_headers(self):
         """Return the headers with which it reports its state in each answer."""
         headers = {} if self.limit is None else {"Server-Limit": self.limit}
