Take no success for whole that ends before its request was sent

A replica answered an upload of 8 MB at once with a 200 without a length, sent a part of the body and ended its half of the connection; callers got the part as a whole answer, bookings and lookups, directly and through a peer. An answer whose status was 600 or 999 was passed on.

Cause: the end of the connection was taken for that of the answer, although the request was still being written.

Change: a channel knows whether the whole request was sent; a success that ends before that with its connection has failed. A status above 599 is no answer.

--- a/lycheetide/httpclient/_channel.py
+++ b/lycheetide/httpclient/_channel.py
@@ -15,6 +15,8 @@
 the event loop copies what the system doesn't take at once."""
 MAX_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 32
+MAX_STATUS = 599
+"""Highest status of HTTP; the parser refuses those below 100."""
 TCP_USER_TIMEOUT_MS = 3_000
 """The connection is closed when sent bytes or keep-alive probes stay unacknowledged for
 this period: with this option set, the number of probes decides nothing."""
@@ -110,6 +112,8 @@
     ----------
     is_written : bool
         Whether any byte of the present request was passed to the socket.
+    is_request_sent : bool
+        Whether the whole present request was passed to the socket.
     is_reusable : bool
         Whether the last response was complete and another request may follow.
     idle_s : float
@@ -128,6 +132,7 @@
         self.stream = stream
         self.address = address
         self.is_written = False
+        self.is_request_sent = False
         self.is_reusable = True
         self.idle_s = DEFAULT_IDLE_S
         self.idle_since_s = 0.0
@@ -199,6 +204,7 @@
             self._parser.start_next_cycle()
         self.request_count += 1
         self.is_written = False
+        self.is_request_sent = False
         self.is_reusable = False
         data = self._encode(outgoing)
         self._write_error = None
@@ -276,6 +282,7 @@
         try:
             for block in blocks:
                 await self.stream.send(block)
+            self.is_request_sent = True
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
             self._write_error = error
         except BaseException:
@@ -309,6 +316,8 @@
         for _ in range(MAX_INTERIM_RESPONSES):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise ChannelError(f"{self.address}: status {event.status_code}")
                 return ResponseHead(event.status_code, tuple(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ChannelError(f"{self.address} closed before it responded")
--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -31,6 +31,7 @@
 LATE_SEND_S = 0.05
 """A request that is sent this much later than it was announced is announced again: the
 other nodes count it for one second from when they receive the announcement."""
+MIN_UNSUCCESSFUL_STATUS = 300
 JOB_EXPIRY_MARGIN_S = 1.0
 """How long after its deadline a request counts as ended if its end isn't announced."""
 
@@ -347,12 +348,19 @@
     Raises
     ------
     AttemptFailed
-        If no connection to the replica can be opened any more, or if another process is
-        at its address.
+        If no connection to the replica can be opened any more, if another process is at
+        its address, or if it ended a success before it had the whole request.
     """
     if not is_close_delimited(attempt.answer):
         return
     channel = attempt.channel
+    is_success = attempt.answer.status < MIN_UNSUCCESSFUL_STATUS
+    if is_success and not channel.is_request_sent:
+        raise AttemptFailed(
+            Cause.BROKEN,
+            "the answer ended before the request was sent",
+            may_have_run=True,
+        )
     try:
         another = await connect_replica(
             relay, channel.address, timeout_s=CONNECT_TIMEOUT_S, first_via=channel.via
