Check an entry of the registry once, where it is decoded

Another writer left entries that no replica writes. Requests were answered 500 while a node listed a replica with a port above 65,535, and the task that reads the list failed and was started again at numbers too large.

Cause: whatever has the form of an entry was taken for a replica: ports out of range, no address, -1 slots, 25 digits, a cold time of 1e308 ms. An entry under a replica's own id with such a sequence or start hid all that followed.

Change: address, port, slots, sequence, start, cold time and id are checked as an entry is decoded; the rest is skipped, counted and logged as unreadable ones are. Numbers in heads of replicas and callers that are too long, nan or infinite are left out, paces end at 1,000, and an address that can't be connected to is a failure to connect.

--- a/lycheetide/httpclient/_channel.py
+++ b/lycheetide/httpclient/_channel.py
@@ -31,7 +31,7 @@
 IDLE_MARGIN_S = 1.0
 """Subtracted from the announced keep-alive timeout, as both ends measure separately."""
 
-_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 
 
 class ChannelConnectError(Exception):
@@ -155,7 +155,7 @@
         try:
             with anyio.fail_after(timeout_s):
                 stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             is_refused = isinstance(error.__cause__, ConnectionRefusedError)
             raise ChannelConnectError(
                 f"{address}: {error!r}", is_refused=is_refused
--- a/lycheetide/platform/_registry.py
+++ b/lycheetide/platform/_registry.py
@@ -1,25 +1,31 @@
 """Decode the registry records that replicas write about themselves."""
 
 from collections.abc import Iterable, Iterator
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
+from msgspec import Meta
 
 from lycheetide.exchange import DECODE_ERRORS, Record
 from lycheetide.replicas import RegistryChange, RegistryEntry
 
+MAX_PORT = 65_535
+
+_Name = Annotated[str, Meta(pattern=r"\A[!-~]{1,200}\Z")]
+"""An id; it is sent in headers."""
+
 
 class _Entry(msgspec.Struct, frozen=True, rename="camel"):
     """A replica's record; ``born`` is its start time in Unix milliseconds."""
 
-    service: str
-    address: str
-    zone: str
-    slots: int
+    service: Annotated[str, Meta(min_length=1, max_length=200)]
+    address: Annotated[str, Meta(pattern=r"\A[0-9A-Za-z.:\[\]_-]{1,253}:[0-9]{1,5}\Z")]
+    zone: Annotated[str, Meta(max_length=200)]
+    slots: Annotated[int, Meta(ge=1, le=1_000_000)]
     state: Literal["ready", "draining"]
-    seq: int
-    cold_remaining_ms: float = 0.0
-    born: int = 0
+    seq: Annotated[int, Meta(ge=0, lt=1 << 53)]
+    cold_remaining_ms: Annotated[float, Meta(le=86_400_000.0)] = 0.0
+    born: Annotated[int, Meta(ge=0, lt=10**13)] = 0
 
 
 def decode_registry_records(
@@ -48,7 +54,7 @@
             yield RegistryChange(record.key, record.offset, None)
             continue
         try:
-            entry = msgspec.json.decode(record.value, type=_Entry)
+            entry = _decode_entry(record)
         except DECODE_ERRORS as error:
             skipped.append(f"{record.key}: {error}")
             continue
@@ -58,6 +64,22 @@
         yield RegistryChange(record.key, record.offset, _make_entry(record.key, entry))
 
 
+def _decode_entry(record):
+    """Decode an entry that any writer may have left.
+
+    Raises
+    ------
+    msgspec.MsgspecError, ValueError, RecursionError
+        If it can't be that of a replica.
+    """
+    msgspec.convert(record.key, _Name)
+    entry = msgspec.json.decode(record.value, type=_Entry)
+    port = int(entry.address.rpartition(":")[2])
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"port {port} is out of range")
+    return entry
+
+
 def _make_entry(name, entry):
     """Convert an entry to the type of this project."""
     return RegistryEntry(
@@ -67,7 +89,7 @@
         failure_domain=entry.zone,
         slots=entry.slots,
         is_draining=entry.state == "draining",
-        cold_s=entry.cold_remaining_ms / 1e3,
+        cold_s=max(0.0, entry.cold_remaining_ms) / 1e3,
         born_ms=entry.born,
         sequence=entry.seq,
     )
--- a/lycheetide/platform/_reports.py
+++ b/lycheetide/platform/_reports.py
@@ -7,6 +7,8 @@
 from lycheetide.platform._requests import EXPECTED_REPLICA
 
 REPORT_PATH = b"/-/report"
+MAX_PACE = 1_000.0
+"""A replica that says more is as useless, and its figures still add up."""
 
 
 class _Report(msgspec.Struct):
@@ -69,4 +71,5 @@
     msgspec.MsgspecError
         If the body is malformed.
     """
-    return ReplicaReport(pace=max(1.0, _decoder.decode(body).pace))
+    pace = _decoder.decode(body).pace
+    return ReplicaReport(pace=min(max(1.0, pace), MAX_PACE))
--- a/lycheetide/platform/_requests.py
+++ b/lycheetide/platform/_requests.py
@@ -30,6 +30,9 @@
 
 _PROMPT_ID = re.compile(rb"[!-+\--~]{1,128}")
 """Visible ASCII characters without the comma, which separates entries."""
+MAX_NUMBER = 1e12
+"""Largest number in a header that is taken for one: 30 years in milliseconds."""
+MAX_DIGITS = 12
 _DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 MAX_SHARED_PARTS = 512
 """Entries of a prompt's list of prefixes that are read; a longer list is forwarded
@@ -80,11 +83,18 @@
 
 
 def _parse_number(text, default=0.0):
-    """Parse a number, or return the default if it is malformed."""
+    """Parse a number, or return the default if it is malformed or too large.
+
+    Examples
+    --------
+    >>> [_parse_number(text) for text in (b"1.5", b"x", b"nan", b"inf", b"1e999")]
+    [1.5, 0.0, 0.0, 0.0, 0.0]
+    """
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
         return default
+    return number if abs(number) <= MAX_NUMBER else default
 
 
 def _parse_limit(headers):
@@ -136,7 +146,7 @@
     (0, 0)
     """
     first, _, second = text.partition(b",")
-    return int(_parse_number(first)), int(_parse_number(second))
+    return max(0, int(_parse_number(first))), max(0, int(_parse_number(second)))
 
 
 def _parse_prompt_id(text):
@@ -308,8 +318,10 @@
 
 def _decode_load(text):
     """Decode the load reported by a replica; None if it is missing or malformed."""
-    parts = text.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [part.strip() for part in text.split(b",", 3)]
+    if len(parts) != 3 or not all(
+        part.isdigit() and len(part) <= MAX_DIGITS for part in parts
+    ):
         return None
     return ReportedLoad(*(int(part) for part in parts))
 
@@ -338,7 +350,7 @@
         is_other_replica=head.status == 421,
         at_fault=_find_header(headers, AT_FAULT).decode("latin-1"),
         load=_decode_load(_find_header(headers, LOAD)),
-        cold_s=_parse_number(_find_header(headers, COLD_MS)) / 1e3,
+        cold_s=max(0.0, _parse_number(_find_header(headers, COLD_MS))) / 1e3,
         limit_per_s=_parse_limit(headers),
         rest_s=_parse_rest_s(head),
         is_leaving=(LEAVING, b"1") in headers,
--- a/lycheetide/relay/_dial.py
+++ b/lycheetide/relay/_dial.py
@@ -177,7 +177,13 @@
             request = TunnelRequest(relay.peers.fleet, relay.node, address)
             await stream.send(encode_request(request))
             answer = TunnelAnswer(ord(await stream.receive(1)))
-    except (OSError, ValueError, anyio.EndOfStream, anyio.BrokenResourceError) as error:
+    except (
+        OSError,
+        ValueError,
+        OverflowError,
+        anyio.EndOfStream,
+        anyio.BrokenResourceError,
+    ) as error:
         await close_if_open(stream)
         raise ChannelConnectError(f"{via}: {error!r}") from error
     except BaseException:
--- a/lycheetide/relay/tests/test_knowledge.py
+++ b/lycheetide/relay/tests/test_knowledge.py
@@ -10,6 +10,7 @@
 from lycheetide import platform
 from lycheetide.exchange import StoreUnavailable
 from standins.relay_deployment import CUSTOMER, RelayDeployment, make_config
+from standins.replica import Replica
 
 pytestmark = pytest.mark.anyio
 
@@ -531,3 +532,48 @@
         assert relay.counters.counts["registry.skipped"] >= 1
         response = await fleet.stream()
         assert response.status_code == 200
+
+
+def make_odd_entries(replica):
+    """Yield values that no replica writes, some nearly like those of a replica."""
+    host = replica.address.rpartition(":")[0]
+    for changes in (
+        {"address": f"{host}:99999"}, {"address": ""}, {"address": ":80"},
+        {"address": f"{host}:0"}, {"slots": -1}, {"slots": 0}, {"slots": 10**25},
+        {"seq": 10**25}, {"born": 10**25}, {"coldRemainingMs": 1e308},
+        {"address": "nowhere"}, {"service": ""}, {"zone": None},
+    ):  # fmt: skip
+        yield replica.entry(**changes)
+    yield from (*NESTED, b"\xff", b"[]", b"null")
+
+
+@pytest.mark.parametrize("key", ["foreign", "r-0"])
+async def test_odd_entries_disturb_no_request_and_no_later_replica(key):
+    """Guards against requests that end with errors, and a list that isn't followed.
+
+    Entries under an id of their own, or under that of a replica, which writes again.
+    """
+    async with RelayDeployment() as fleet:
+        (relay,) = fleet.relays
+        odd = list(make_odd_entries(fleet.replicas[0]))
+        statuses = []
+        for number, value in enumerate(odd):
+            name = key if key == "r-0" else f"{key}-{number}"
+            fleet.store.put("keyed.servers", name, value)
+            await anyio.sleep(0.08)
+            for path in ("/look/a", "/stream/s"):
+                send = fleet.look if path == "/look/a" else fleet.stream
+                statuses.append((await send(path=path)).status_code)
+        late = Replica("late")
+        async with late.server.run():
+            fleet.store.put("keyed.servers", late.name, late.entry())
+            for replica in fleet.replicas:
+                fleet.store.put("keyed.servers", replica.name, replica.entry(seq=9))
+            await fleet.wait_for(lambda: "late" in relay.replicas.replicas)
+            fleet.store.put("keyed.servers", "r-1", b"")
+            fleet.store.put("keyed.servers", "r-0", b"")
+            statuses += [(await fleet.look()).status_code for _ in range(10)]
+            assert late.runs
+        assert relay.counters.counts["registry.skipped"] >= len(odd)
+        assert not [one for one in relay.counters.counts if one.startswith("node.part")]
+    assert set(statuses) == {200}
