Limit the bytes of all answers together that a node holds

Replicas that send bytes without end could take more memory than a node has: 96 to 307 MB at a relay with 60 MB and twenty callers, in five of nine ways.

Cause: each body may have 64 MB, each event 1 MB, and nothing limited their sum.

Change: answers that are held, in part or whole, may take 15% of the node's memory together; the longest that is still being read is given up above that. Bodies are collected in one buffer. Answers to reports, orders and the own interface's calls have limits of their own.

Why it works: an endless answer becomes the longest, so that it is given up, whoever adds the bytes that are too many.

--- a/lycheetide/httpclient/_channel.py
+++ b/lycheetide/httpclient/_channel.py
@@ -14,6 +14,7 @@
 """Size of the slices in which a long body is written, if it isn't joined with its head:
 the event loop copies what the system doesn't take at once."""
 MAX_HEAD_BYTES = 65_536
+MAX_BODY_BYTES = 64_000_000
 MAX_INTERIM_RESPONSES = 32
 MAX_STATUS = 599
 """Highest status of HTTP; the parser refuses those below 100."""
@@ -341,7 +342,9 @@
             return None
         raise ChannelError(f"{self.address} closed within a response")
 
-    async def read_all(self, *, timeout_s, more=None, max_bytes=64_000_000):
+    async def read_all(
+        self, *, timeout_s, more=None, max_bytes=MAX_BODY_BYTES, note_read=None
+    ):
         """Read and return the whole body.
 
         Parameters
@@ -352,25 +355,27 @@
             As in ``request``.
         max_bytes : int, default=64_000_000
             The maximum size of the body.
+        note_read : callable or None
+            Called with the number of bytes of each part. A ``ChannelError`` that it
+            raises ends the reading.
 
         Raises
         ------
         ChannelError
             If the body is cut off, takes too long or is too large.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
 
         async def read_rest():
-            nonlocal size
             while (part := await self.next_chunk()) is not None:
-                parts.append(part)
-                size += len(part)
-                if size > max_bytes:
-                    raise ChannelError(f"{self.address} sent over {size} bytes")
+                body.extend(part)
+                if len(body) > max_bytes:
+                    raise ChannelError(f"{self.address} sent over {len(body)} bytes")
+                if note_read is not None:
+                    note_read(len(part))
 
         await self.wait_for(read_rest, timeout_s, more)
-        return b"".join(parts)
+        return bytes(body)
 
     def _update_reusable(self):
         """Set ``is_reusable`` after a complete response."""
--- a/lycheetide/httpclient/_pool.py
+++ b/lycheetide/httpclient/_pool.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict, deque
 
-from lycheetide.httpclient._channel import Channel, ChannelError
+from lycheetide.httpclient._channel import MAX_BODY_BYTES, Channel, ChannelError
 
 MAX_IDLE_PER_ADDRESS = 8
 """Maximum idle connections per address; a replica accepts a few hundred in total."""
@@ -107,7 +107,10 @@
         self.opened += 1
         return await self.connect(address, timeout_s=timeout_s, **options)
 
-    async def call(self, address, outgoing, *, timeout_s, read_clock, max_idle=1):
+    async def call(
+        self, address, outgoing, *, timeout_s, read_clock, max_idle=1,
+        max_bytes=MAX_BODY_BYTES,
+    ):  # fmt: skip
         """Send a small idempotent request and return the whole response.
 
         If a reused connection breaks before the response is complete, the server most
@@ -126,6 +129,8 @@
             Returns the present time.
         max_idle : int, default=1
             The maximum number of idle connections to the address.
+        max_bytes : int, default=64_000_000
+            The maximum size of the body.
 
         Returns
         -------
@@ -145,7 +150,7 @@
             is_reused = channel.request_count > 0
             try:
                 head = await channel.request(outgoing, timeout_s=timeout_s)
-                body = await channel.read_all(timeout_s=timeout_s)
+                body = await channel.read_all(timeout_s=timeout_s, max_bytes=max_bytes)
             except BaseException as error:
                 await channel.aclose()
                 is_broken = isinstance(error, ChannelError) and not error.is_silent
--- a/lycheetide/relay/_buffered.py
+++ b/lycheetide/relay/_buffered.py
@@ -2,6 +2,7 @@
 
 from lycheetide.exchange import ReplicaResponse
 from lycheetide.httpclient import ChannelError
+from lycheetide.relay._answers import hold_answer
 from lycheetide.relay._attempt import (
     announced_attempt,
     check_end,
@@ -38,6 +39,12 @@
 
 
 async def serve_buffered(relay, call, reply):
+    """Send the caller the answer of a replica, as ``_serve_held``."""
+    with hold_answer(relay) as held:
+        await _serve_held(relay, call, reply, held)
+
+
+async def _serve_held(relay, call, reply, held):
     """Send the caller the answer of a replica.
 
     If the last attempt that answered returned a server error and no further attempt
@@ -61,7 +68,7 @@
         call.tried.add(placement.first.id)
         call.error_starts.pop(placement.first.id, None)
         try:
-            last_answer = await request_answer(relay, call, placement)
+            last_answer = await request_answer(relay, call, placement, held)
         except AttemptFailed as failure:
             record_failed_attempt(relay, call, placement, failure)
             if await claim_retry(
@@ -127,7 +134,7 @@
         return None
 
 
-async def request_answer(relay, call, placement):
+async def request_answer(relay, call, placement, held):
     """Return the head and the whole body of one replica's answer.
 
     Raises
@@ -156,7 +163,7 @@
         ) as attempt,
     ):
         try:
-            body = await attempt.channel.read_all(timeout_s=wait_s, more=more)
+            body = await held.read(attempt.channel, timeout_s=wait_s, more=more)
         except ChannelError as broken:
             raise make_failure(broken, attempt.channel) from broken
         await check_end(relay, attempt)
--- a/lycheetide/relay/_memory.py
+++ b/lycheetide/relay/_memory.py
@@ -1,11 +1,13 @@
 """Keep a node below the limit of its memory."""
 
 from lycheetide.buffering import (
+    AnswerBudget,
     HeldBytes,
     MemoryGauge,
     MemoryStage,
     accepts_body,
     choose_victim,
+    compute_answer_limit_bytes,
     find_memory_stage,
     is_above_bound,
 )
@@ -28,6 +30,11 @@
 class NodeMemory:
     """What a node holds in memory for its callers.
 
+    Parameters
+    ----------
+    memory_mb : float
+        Memory that the process may use; 0 if it is unknown.
+
     Attributes
     ----------
     held : HeldBytes
@@ -38,13 +45,19 @@
         How near the node is to its limit.
     replies : dict
         Each ``BufferedReply`` by its key.
+    answers : AnswerBudget
+        Bytes of answers that aren't passed on as they arrive.
+    readers : dict
+        Each ``HeldAnswer`` by its key.
     """
 
-    def __init__(self):
+    def __init__(self, memory_mb=0.0):
         self.held = HeldBytes()
         self.gauge = MemoryGauge(read_resident_bytes)
         self.stage = MemoryStage.NORMAL
         self.replies = {}
+        self.answers = AnswerBudget(compute_answer_limit_bytes(memory_mb))
+        self.readers = {}
         self.released_s = float("-inf")
         self.reported_peak_bytes = 0
         self._key_count = 0
--- a/lycheetide/relay/_paces.py
+++ b/lycheetide/relay/_paces.py
@@ -21,6 +21,7 @@
 """Largest number of reports that one hub asks for per second; each takes it about 1 ms
 of processor time."""
 REPORT_TIMEOUT_S = 0.4
+MAX_REPORT_BYTES = 1_000_000
 MAX_PENDING_REPORTS = 8
 """Number of reports that a hub waits for at a time."""
 
@@ -119,6 +120,7 @@
                 timeout_s=REPORT_TIMEOUT_S,
                 read_clock=read_clock,
                 max_idle=compute_idle_limit(service.max_connections, nodes),
+                max_bytes=MAX_REPORT_BYTES,
             )
             if head.status == 503:
                 record_rest(relay, entry, relay.adapter.decode_answer(head).rest_s)
--- a/lycheetide/relay/_reservations.py
+++ b/lycheetide/relay/_reservations.py
@@ -36,6 +36,7 @@
 after the end of a request."""
 RENEWAL_INTERVAL_S = 1.0
 """Interval of renewals; a reservation outlives three lost ones."""
+MAX_ORDER_ANSWER_BYTES = 1_000_000
 ORDER_TIMEOUT_S = 0.6
 """Longest time to wait for the answer to an order."""
 RETRY_PAUSE_S = 0.15
@@ -280,7 +281,11 @@
     try:
         with anyio.fail_after(ORDER_TIMEOUT_S):
             head, _ = await relay.pool.call(
-                address, outgoing, timeout_s=ORDER_TIMEOUT_S, read_clock=read_clock
+                address,
+                outgoing,
+                timeout_s=ORDER_TIMEOUT_S,
+                read_clock=read_clock,
+                max_bytes=MAX_ORDER_ANSWER_BYTES,
             )
             return head
     except (ChannelConnectError, ChannelError, TimeoutError) as error:
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -151,7 +151,7 @@
         self.stall_detector = StallDetector()
         self.started_s = read_clock()
         self.used = UsageCounter(now_s=self.started_s)
-        self.active, self.memory = 0, NodeMemory()
+        self.active, self.memory = 0, NodeMemory(settings.memory_mb)
         self.is_leaving = False
         self.stop_requested = anyio.Event()
         self.tasks = None
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -11,6 +11,7 @@
 
 from lycheetide.httpclient import ChannelError
 from lycheetide.placement import MIN_CALLER_PATIENCE_S, estimate_pass_s
+from lycheetide.relay._answers import hold_answer
 from lycheetide.relay._attempt import (
     announced_attempt,
     check_end,
@@ -214,19 +215,22 @@
     ) as attempt:  # fmt: skip
         call.may_have_run = True
         if attempt.answer.status != 200:
-            await _forward_unstreamed(relay, call, reply, attempt, stream_attempt)
+            with hold_answer(relay) as held:
+                await _forward_unstreamed(relay, reply, attempt, stream_attempt, held)
             return
         await _forward_head(relay, call, reply, progress, attempt)
-        await _forward_events(
-            relay,
-            call,
-            reply,
-            progress,
-            stream_attempt,
-            attempt,
-            initial_timeout_s=initial_timeout_s,
-            more=more,
-        )
+        with hold_answer(relay) as held:
+            await _forward_events(
+                relay,
+                call,
+                reply,
+                progress,
+                stream_attempt,
+                attempt,
+                held=held,
+                initial_timeout_s=initial_timeout_s,
+                more=more,
+            )
         note_answered(relay, call, placement.first.id)
         stream_attempt.cancel_others()
         await reply.end()
@@ -270,10 +274,10 @@
     return holders + [helper.id for helper in placement.helpers]
 
 
-async def _forward_unstreamed(relay, call, reply, attempt, stream_attempt):
+async def _forward_unstreamed(relay, reply, attempt, stream_attempt, held):
     """Forward an answer that isn't a stream."""
     try:
-        body = await attempt.channel.read_all(timeout_s=MIN_CALLER_PATIENCE_S)
+        body = await held.read(attempt.channel, timeout_s=MIN_CALLER_PATIENCE_S)
     except ChannelError as broken:
         raise make_failure(broken, attempt.channel) from broken
     if reply.is_started or attempt.answer.status >= 500:
@@ -288,8 +292,9 @@
 
 
 async def _forward_events(
-    relay, call, reply, progress, stream_attempt, attempt, *, initial_timeout_s, more
-):
+    relay, call, reply, progress, stream_attempt, attempt, *, held, initial_timeout_s,
+    more,
+):  # fmt: skip
     """Forward events until the stream is complete.
 
     Raises
@@ -331,7 +336,8 @@
                     stream_attempt.replica, now_s=stream_attempt.at_s
                 )
                 event_timeout_s = SILENCE_MARGIN_S + pace * estimate_pass_s(engine, 1)
-        except EventTooLongError as endless:
+            held.count_event(channel, splitter.rest_bytes)
+        except (EventTooLongError, ChannelError) as endless:
             raise AttemptFailed(
                 Cause.WRONG_ANSWER, str(endless), may_have_run=True
             ) from endless
--- a/lycheetide/streams/_events.py
+++ b/lycheetide/streams/_events.py
@@ -77,6 +77,11 @@
         """Bytes after the last whole event."""
         return bytes(self._buffer)
 
+    @property
+    def rest_bytes(self):
+        """Number of bytes after the last whole event."""
+        return len(self._buffer)
+
     @property
     def is_within_event(self):
         """Whether the bytes after the last whole event are part of another one."""
--- a/lycheetide/upstreams/_client.py
+++ b/lycheetide/upstreams/_client.py
@@ -69,13 +69,53 @@
         raise UpstreamBrokenError(repr(error)) from error
 
 
-def raise_for_error(response, body):
+async def request_body(http, method, url, *, max_bytes, **options):
+    """Send a request and return its status and the whole body of the answer.
+
+    Parameters
+    ----------
+    http : httpx.AsyncClient
+        The HTTP client.
+    method, url : str
+        What to ask for.
+    max_bytes : int
+        The maximum size of the body.
+    **options : object
+        Passed to ``httpx.AsyncClient.stream``.
+
+    Raises
+    ------
+    UpstreamError
+        If there is no whole answer, or it is too long.
+    """
+    with translate_errors():
+        async with http.stream(method, url, **options) as response:
+            return response.status_code, await read_body(response, max_bytes=max_bytes)
+
+
+async def read_body(response, *, max_bytes):
+    """Return the whole body of an answer.
+
+    Raises
+    ------
+    UpstreamBrokenError
+        If it is too long.
+    """
+    body = bytearray()
+    async for part in response.aiter_bytes():
+        body.extend(part)
+        if len(body) > max_bytes:
+            raise UpstreamBrokenError(f"an answer of over {max_bytes} bytes")
+    return bytes(body)
+
+
+def raise_for_error(status, body):
     """Raise an error if the response has an error status.
 
     Parameters
     ----------
-    response : httpx.Response
-        The response, of which the status is used.
+    status : int
+        The status of the response.
     body : object
         The decoded body.
 
@@ -86,8 +126,8 @@
     UpstreamBrokenError
         For any other error status.
     """
-    if response.status_code < 400:
+    if status < 400:
         return
     if isinstance(body, dict) and body.get("started") is False:
-        raise UpstreamRefusedError(str(body.get("error", response.status_code)))
-    raise UpstreamBrokenError(f"status {response.status_code}")
+        raise UpstreamRefusedError(str(body.get("error", status)))
+    raise UpstreamBrokenError(f"status {status}")
--- a/lycheetide/upstreams/_engine.py
+++ b/lycheetide/upstreams/_engine.py
@@ -5,6 +5,7 @@
 import httpx
 import msgspec
 
+from lycheetide.exchange import DECODE_ERRORS
 from lycheetide.scheduling import HeldMemory, LoadReport
 from lycheetide.streams import (
     EventSplitter,
@@ -12,10 +13,17 @@
     find_data,
     parse_chunk,
 )
-from lycheetide.upstreams._client import raise_for_error, translate_errors
+from lycheetide.upstreams._client import (
+    raise_for_error,
+    read_body,
+    request_body,
+    translate_errors,
+)
 from lycheetide.upstreams._errors import UpstreamBrokenError
 
 CONTROL_TIMEOUT_S = 2.0
+MAX_BODY_BYTES = 4_000_000
+"""Longest answer that is no stream; a list of holdings has 100 bytes for each."""
 NO_READ_TIMEOUT = httpx.Timeout(CONTROL_TIMEOUT_S, read=None, write=None)
 """For calls whose maximum silence is enforced by the caller."""
 
@@ -58,24 +66,27 @@
 
 async def _post_json(http, url, body, *, timeout=CONTROL_TIMEOUT_S):
     """Send a JSON request and return the decoded response."""
-    with translate_errors():
-        response = await http.post(
-            url,
-            content=msgspec.json.encode(body),
-            headers={"content-type": "application/json"},
-            timeout=timeout,
-        )
-    answer = _decode_json(response.content)
-    raise_for_error(response, answer)
+    status, content = await request_body(
+        http,
+        "POST",
+        url,
+        max_bytes=MAX_BODY_BYTES,
+        content=msgspec.json.encode(body),
+        headers={"content-type": "application/json"},
+        timeout=timeout,
+    )
+    answer = _decode_json(content)
+    raise_for_error(status, answer)
     return answer
 
 
 async def _get_json(http, url):
     """Fetch and decode a JSON response."""
-    with translate_errors():
-        response = await http.get(url, timeout=CONTROL_TIMEOUT_S)
-    answer = _decode_json(response.content)
-    raise_for_error(response, answer)
+    status, content = await request_body(
+        http, "GET", url, max_bytes=MAX_BODY_BYTES, timeout=CONTROL_TIMEOUT_S
+    )
+    answer = _decode_json(content)
+    raise_for_error(status, answer)
     return answer
 
 
@@ -83,7 +94,7 @@
     """Decode JSON; raise ``UpstreamBrokenError`` if it is malformed."""
     try:
         return msgspec.json.decode(content)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise UpstreamBrokenError(f"not JSON: {error}") from error
 
 
@@ -198,7 +209,8 @@
         silence.begin(limit_s)
         try:
             if response.status_code >= 400:
-                raise_for_error(response, _decode_json(await response.aread()))
+                content = await read_body(response, max_bytes=MAX_BODY_BYTES)
+                raise_for_error(response.status_code, _decode_json(content))
             headers = response.headers
             on_accepted(headers.get("x-holding-id", ""), headers.get("x-boot-id", ""))
             async for event in read_events(response.aiter_bytes()):
@@ -239,5 +251,5 @@
     """Parse the chunk in the data of an event."""
     try:
         return parse_chunk(data)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise UpstreamBrokenError(f"malformed chunk: {error}") from error
--- a/lycheetide/upstreams/_service.py
+++ b/lycheetide/upstreams/_service.py
@@ -6,9 +6,12 @@
 import httpx
 import msgspec
 
-from lycheetide.upstreams._client import raise_for_error, translate_errors
+from lycheetide.exchange import DECODE_ERRORS
+from lycheetide.upstreams._client import raise_for_error, request_body
 from lycheetide.upstreams._errors import UpstreamBrokenError
 
+MAX_ANSWER_BYTES = 16_000_000
+
 
 @dataclass(frozen=True)
 class ServiceCall:
@@ -75,20 +78,22 @@
         headers["idempotency-key"] = call.key
         headers["x-fencing-number"] = str(call.fencing_number)
     timeout = httpx.Timeout(timeout_s, connect=http.timeout.connect)
-    with translate_errors():
-        response = await http.post(
-            f"{upstream.url}/run/{call.operation}",
-            content=call.body,
-            headers=headers,
-            timeout=timeout,
-        )
+    status, content = await request_body(
+        http,
+        "POST",
+        f"{upstream.url}/run/{call.operation}",
+        max_bytes=MAX_ANSWER_BYTES,
+        content=call.body,
+        headers=headers,
+        timeout=timeout,
+    )
     try:
-        body = msgspec.json.decode(response.content)
-    except msgspec.MsgspecError as error:
+        body = msgspec.json.decode(content)
+    except DECODE_ERRORS as error:
         raise UpstreamBrokenError(f"not JSON: {error}") from error
-    if response.status_code >= 500 or _is_refusal(body):
-        raise_for_error(response, body)
-    return ServiceAnswer(response.status_code, body)
+    if status >= 500 or _is_refusal(body):
+        raise_for_error(status, body)
+    return ServiceAnswer(status, body)
 
 
 def _is_refusal(body):
--- a/lycheetide/upstreams/tests/test_client.py
+++ b/lycheetide/upstreams/tests/test_client.py
@@ -137,3 +137,10 @@
         return [find_data(event.data) async for event in read_events(send())]
 
     assert anyio.run(read) == [None, b"0", b"1", b"2"]
+
+
+@pytest.mark.parametrize("status", [200, 500])
+def test_an_answer_of_a_service_without_end_is_given_up(status):
+    """Guards against a service whose bytes a node collects until it has no memory."""
+    with pytest.raises(UpstreamBrokenError, match="over"):
+        run_call(make_answer(status, b"x" * 17_000_000), requests=[])
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -17,6 +17,20 @@
 RESPONSE_SEAL = "3e1b.07"
 HEALTH_PATH = "/health"
 CRASH_MOMENTS = ("request", "head", "first", "events", "last", "end")
+ENDLESS = {
+    "endless-lines": (b"", b"X: y\r\n" * 512),
+    "endless-body": (b"\r\n", b"x" * 65_536),
+    "endless-length": (b"Content-Length: 1000000000000\r\n\r\n", b"x" * 65_536),
+    "endless-chunks": (
+        b"Transfer-Encoding: chunked\r\n\r\n", b"1000\r\n" + b"x" * 4_096 + b"\r\n",
+    ),
+    "endless-chunk": (
+        b"Transfer-Encoding: chunked\r\n\r\nffffffffff\r\n", b"x" * 65_536,
+    ),
+    "endless-failure": (b"Content-Length: 1000000000000\r\n\r\n", b"x" * 65_536),
+    "endless-event": (b"\r\n", b"data: x\r\n" * 4_096),
+}  # fmt: skip
+"""Ways to send bytes without end: the end of the head, and what follows."""
 PIECE_PAUSE_S = 0.001
 """Pause after a piece of an event, so that it is read before the next one."""
 MIN_EARLY_BYTES = 100_000
@@ -98,7 +112,8 @@
         "unframed-reset", "fail", "other", "end" (a stream whose connection is closed
         within the third event), "end-empty" (before the first one), "endless-head" and
         "endless" (bytes that are no answer, without end, in the head and in place of
-        the third event), "late" and "pause"
+        the third event), those of ``ENDLESS`` (the same in other places), "late" and
+        "pause"
         (the last two send nothing for ``long_pause_s``, before the response and after
         two events respectively, and then continue).
     default_step : str
@@ -362,6 +377,15 @@
             await self._send_without_end(
                 stream, b"HTTP/1.1 200 OK\r\nX: ", b"x" * 4_096
             )
+        if step in ENDLESS:
+            head_end, filler = ENDLESS[step]
+            status = 500 if step == "endless-failure" else 200
+            lines = [
+                f"HTTP/1.1 {status} OK", f"Lycheetide-Attempt-Id: {attempt}",
+                f"Lycheetide-Response-Seal: {RESPONSE_SEAL}", "",
+            ]  # fmt: skip
+            data = "\r\n".join(lines).encode() + head_end
+            await self._send_without_end(stream, data, filler)
         head = self.make_state_headers() | {
             "Lycheetide-Attempt-Id": attempt,
             "Lycheetide-Response-Seal": RESPONSE_SEAL,
