Refuse calls that may outlast a planned stop of their node

In a planned stop, a request whose body arrived late in the grace was passed on and cut off at its end, also one that may not be repeated.

Cause: nothing was accepted after the notice, but a request that had begun was sent whenever it was whole, or had its place, and only its deadline was asked for.

Change: before a call is sent for the first time, and before it waits, the node compares the time that it may take with the time until running requests are cut.

--- a/lycheetide/relay/_attempt.py
+++ b/lycheetide/relay/_attempt.py
@@ -27,6 +27,7 @@
 )
 from lycheetide.relay._retries import spend_retry
 from lycheetide.relay._state import make_life, read_clock
+from lycheetide.relay._stop import make_stop_refusal, may_outlast_stop
 
 LATE_SEND_S = 0.05
 """A request that is sent this much later than it was announced is announced again: the
@@ -218,6 +219,8 @@
     ------
     AttemptFailed
         If no head arrives.
+    Refusal
+        If this node stops before the call is sure to have ended.
     """
     is_fresh = not call.route.is_repeatable
     is_counted = False
@@ -240,6 +243,7 @@
             else:
                 await channel.aclose()
             raise AttemptFailed(held_for, "not sent", may_have_run=call.may_have_run)
+        await check_start_before_stop(relay, call, channel)
         if not is_counted:
             # Counted only now: an unreachable replica must not use up an attempt.
             call.sent += 1
@@ -275,6 +279,19 @@
         )
 
 
+async def check_start_before_stop(relay, call, channel):
+    """Check that a call that is sent for the first time ends before this node does.
+
+    Raises
+    ------
+    Refusal
+        If that isn't sure; the connection is closed.
+    """
+    if call.sent == 0 and may_outlast_stop(relay, call, now_s=read_clock()):
+        await channel.aclose()
+        raise make_stop_refusal(relay)
+
+
 def find_hold_cause(relay, call, replica, *, now_s):
     """Return why a request may no longer be sent to the replica it was placed at.
 
--- a/lycheetide/relay/_outcomes.py
+++ b/lycheetide/relay/_outcomes.py
@@ -18,6 +18,7 @@
     LIMITED = "limited"
     RESTING = "resting"
     LEAVING = "leaving"
+    STOPPING = "stopping"
     QUARANTINED = "quarantined"
     UNSETTLED = "unsettled"
     REFUSED = "refused"
--- a/lycheetide/relay/_run.py
+++ b/lycheetide/relay/_run.py
@@ -25,7 +25,7 @@
 from lycheetide.relay._quarantine_sync import follow_quarantines
 from lycheetide.relay._refusals import watch_refusals
 from lycheetide.relay._reload import reload_settings, watch_settings
-from lycheetide.relay._state import RelayState, read_clock
+from lycheetide.relay._state import RelayState, StopTimes, read_clock
 from lycheetide.relay._tunnels import serve_tunnels
 from lycheetide.tasks import GuardedTasks, keep_running, watch_standstill
 
@@ -249,7 +249,12 @@
     idle connections and let running requests finish. If it accepted requests until its
     last second, it would cut off those that take longer.
     """
+    now_s, settings = read_clock(), relay.settings
+    notice_until_s = now_s + settings.stop_notice_s
+    relay.stop_times = StopTimes(
+        notice_until_s, notice_until_s + compute_graceful_s(settings)
+    )
     relay.is_leaving = True
     relay.trigger_heartbeat()
     relay.log.info("The node is leaving.", extra={"active": relay.active})
-    await anyio.sleep(relay.settings.stop_notice_s)
+    await anyio.sleep(settings.stop_notice_s)
--- a/lycheetide/relay/_serve.py
+++ b/lycheetide/relay/_serve.py
@@ -20,6 +20,7 @@
     pick_service,
 )
 from lycheetide.relay._state import read_clock
+from lycheetide.relay._stop import make_stop_refusal, may_outlast_stop
 from lycheetide.relay._stream import serve_stream
 from lycheetide.relay._writer import serve_buffered_reply
 from lycheetide.routes import CustomerNotFound, RouteKind, RouteNotFound
@@ -106,6 +107,8 @@
         target_ms=round(call.route.target_latency_s * 1e3),
         gap_ms=round(call.route.target_gap_s * 1e3),
     )
+    if may_outlast_stop(relay, call, now_s=now_s):
+        raise make_stop_refusal(relay)
     if not await wait_until_settled(relay, call):
         raise make_unsettled_refusal(relay, call)
     check_quarantine(relay, call, now_s=now_s)
--- a/lycheetide/relay/_state.py
+++ b/lycheetide/relay/_state.py
@@ -72,6 +72,22 @@
     """Do nothing; the default of callbacks until the node runs."""
 
 
+@dataclass(frozen=True)
+class StopTimes:
+    """The times of a planned stop.
+
+    Parameters
+    ----------
+    notice_until_s : float
+        When callers are taken to know of it; nothing more is accepted then.
+    deadline_s : float
+        When requests that still run are cut off.
+    """
+
+    notice_until_s: float = float("inf")
+    deadline_s: float = float("inf")
+
+
 @dataclass
 class TopicState:
     """Records and read status of one topic of the store.
@@ -152,7 +168,7 @@
         self.started_s = read_clock()
         self.used = UsageCounter(now_s=self.started_s)
         self.active, self.memory = 0, NodeMemory(settings.memory_mb)
-        self.is_leaving = False
+        self.is_leaving, self.stop_times = False, StopTimes()
         self.stop_requested = anyio.Event()
         self.tasks = None
         self.broadcast_work = None
