Count the refused connections of the hot node's test from its overload on

test_an_overloaded_node_closes_new_connections_unread failed in one whole run of the script on, with three refused connections where it expects one.

Cause: its first lookup goes through callers that repeat a refused connection. If the machine pauses meanwhile, the node rightly turns that connection away once or more before the overload that the test brings about. Shown by a trial: beside pauses of 0.1 to 0.35 s in the event loop, 6 of 178 lookups were answered 200 after one to three refused connections.

Change: the test counts from that moment on and asks for exactly one more, as before.

--- a/lycheetide/relay/tests/test_hot_node.py
+++ b/lycheetide/relay/tests/test_hot_node.py
@@ -63,11 +63,13 @@
         await wait_for_peers(fleet)
         hot = fleet.relays[0]
         assert (await fleet.look()).status_code == 200
+        # A pause of the machine may have turned the first connection away, too.
+        refused = hot.counters.counts["connections.refused"]
         hot.stall_detector.overloaded_since_s = lambda **_: float("-inf")
         async with httpx.AsyncClient(timeout=5, trust_env=False) as client:
             with pytest.raises(httpx.HTTPError):
                 await client.get(fleet.url("/look/a"), headers=fleet.make_headers())
-        assert hot.counters.counts["connections.refused"] == 1
+        assert hot.counters.counts["connections.refused"] == refused + 1
         assert (await fleet.look(relay=1)).status_code == 200
         assert (await fleet.look()).status_code == 200, "the kept connection"
         assert len(fleet.received()) == 3
