Ask replicas for memory that were silent before, if a huge prompt needs it

Cause: a replica that was suspected in a stall may hold no share of a prompt for 15 s unless it answers, and short prompts prefer others, so nobody asks it.

Change: if no placement is left for a prompt that needs several replicas, those whose time of suspicion is over may take part. Each is asked for its memory before the prompt is sent, and an order that it grants counts as an answer, which ends the suspicion for all.

Evidence: test_a_huge_prompt_asks_replicas_for_memory_that_were_silent_before failed on the code before (503; 200 without the suspicion), passes now.

--- a/lycheetide/placement/_spread.py
+++ b/lycheetide/placement/_spread.py
@@ -11,7 +11,7 @@
 would be late, and the number with the lowest cost is used.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lycheetide.placement._estimate import estimate_pass_s, estimate_prefill_s
 from lycheetide.placement._memory import needs_several_replicas, share_memory
@@ -205,15 +205,25 @@
         max_helpers = MAX_HELPERS
     max_readers = min(max_helpers + 1, len(candidates))
     counts = [count for count in READER_COUNTS if count < max_readers] + [max_readers]
-    replicas = [_assess_replica(engine, candidate) for candidate in candidates]
-    plans = (_price_plan(engine, prompt, replicas, arrivals, count) for count in counts)
-    feasible = [plan for plan in plans if plan is not None]
+    feasible = _price_plans(engine, prompt, candidates, arrivals, counts)
+    if not feasible and needs_several_replicas(engine, size.tokens):
+        # Each is asked for its memory before the prompt is sent, and answers that soon
+        # if it is alive.
+        proven = [replace(candidate, is_recovering=False) for candidate in candidates]
+        feasible = _price_plans(engine, prompt, proven, arrivals, counts)
     if not feasible:
         return None
     _, placement = min(feasible, key=lambda plan: plan[0])
     return placement
 
 
+def _price_plans(engine, prompt, candidates, arrivals, counts):
+    """Return the cost and the placement for each number of readers that is possible."""
+    replicas = [_assess_replica(engine, candidate) for candidate in candidates]
+    plans = (_price_plan(engine, prompt, replicas, arrivals, count) for count in counts)
+    return [plan for plan in plans if plan is not None]
+
+
 def _assess_replica(engine, candidate):
     """Return a replica with its wait and pause before a part is assigned to it."""
     pass_s = estimate_pass_s(engine, candidate.writers, candidate.kv_tokens)
--- a/lycheetide/relay/_reservations.py
+++ b/lycheetide/relay/_reservations.py
@@ -306,6 +306,8 @@
     head = await _order(relay, order, replica.address)
     if head is None:
         suspect_silent(relay, replica.id, "", "no answer to an order")
+    elif head.status == 200:
+        relay.failure_detector.hear(replica.id, now_s=read_clock())
     elif head.status == 503:
         record_rest(relay, entry, relay.adapter.decode_answer(head).rest_s)
     results[ticket] = head is not None and head.status == 200
--- a/lycheetide/relay/tests/test_silence.py
+++ b/lycheetide/relay/tests/test_silence.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from lycheetide.gossip._failure_detector import SUSPECT_S
 from standins.relay_deployment import RelayDeployment, make_long_timeout_config
 from standins.replica import Replica, make_event
 
@@ -133,3 +134,24 @@
             group.start_soon(add_spare)
             answer = await fleet.stream(deadline_ms=10_000)
     assert answer.content == WHOLE_STREAM
+
+
+async def test_a_huge_prompt_asks_replicas_for_memory_that_were_silent_before():
+    """Guards against refusing huge prompts while replicas are avoided without need.
+
+    They were suspected in a stall, have memory, and nobody else asks them for anything.
+    """
+    async with RelayDeployment(replicas=3) as fleet:
+        (relay,) = fleet.relays
+        detector = relay.failure_detector
+        for replica in fleet.replicas:
+            detector.suspect(replica.name, now_s=time.monotonic() - 2 * SUSPECT_S)
+        answer = await fleet.stream(tokens="140000,200")
+        now_s = time.monotonic()
+        avoided = [
+            replica.name
+            for replica in fleet.replicas
+            if detector.is_recovering(replica.name, now_s=now_s)
+        ]
+    assert answer.status_code == 200
+    assert not avoided
