--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
     FAULT_PHASE_S,
     LINK_CUT_COUNT,
     LOSS_COUNT,
+    ODDITY_COUNT,
     QUIET_COUNT,
     run_soak,
 )
@@ -33,6 +34,7 @@
     parser.add_argument("--link-cuts", type=int, default=LINK_CUT_COUNT)
     parser.add_argument("--bursts", type=int, default=BURST_COUNT)
     parser.add_argument("--losses", type=int, default=LOSS_COUNT)
+    parser.add_argument("--oddities", type=int, default=ODDITY_COUNT)
     parser.add_argument(
         "--sound", action="store_true", help="send no requests that crash replicas"
     )
@@ -69,6 +71,7 @@
         link_cuts=args.link_cuts,
         bursts=args.bursts,
         losses=args.losses,
+        oddities=args.oddities,
         has_bad_part=not args.sound,
         has_fatal_requests=not args.sound,
     )
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,9 @@
 FATAL_PAUSE_S = 0.4
 """Longest pause before the next try of such a request."""
 FATAL_MARK = "fatal"
+UPLOAD_PER_S = 3.0
+UPLOAD_BYTES = 3_000_000
+UPLOAD_CALLER_NAME = 0xF000
 FATAL_PATHS = ("/stream/long", "/stream-once/s", "/look/a", "/book/b")
 SYSTEM_PART = "5e5e5e5e"
 OTHER_PARTS = 5
@@ -193,6 +196,20 @@
             await anyio.sleep(rng.uniform(0.0, FATAL_PAUSE_S))
 
 
+async def run_upload_caller(deployment, attempts, rng, name):
+    """Send long bookings until cancelled, each on a connection of its own."""
+    count = 0
+    while True:
+        await anyio.sleep(rng.expovariate(UPLOAD_PER_S))
+        count += 1
+        node = rng.choice(deployment.list_rotation())
+        async with httpx.AsyncClient(
+            timeout=DEADLINE_S + 3.0, trust_env=False, verify=False
+        ) as client:
+            attempt = await call(client, node, "upload", f"{name:04x}{count:012x}")
+        attempts.append(attempt)
+
+
 def is_fatal(request):
     """Tell whether a replica ends as it works on a request, as it receives it."""
     return FATAL_MARK in request.target
@@ -232,6 +249,7 @@
         "look": ("GET", "/look/a", None),
         "second_key": ("GET", "/look/b", None),
         "book": ("POST", "/book/b", None),
+        "upload": ("POST", "/book/u", None),
         "huge": ("POST", "/huge/stream", HUGE_TOKENS),
         "once": ("POST", "/stream-once/s", 1_000),
         "patient": ("POST", "/patient/stream", 1_000),
@@ -245,5 +263,7 @@
         headers["lycheetide-token-count"] = f"{tokens},200"
         headers["lycheetide-prompt-prefix"] = make_prompt_parts(kind, attempt_id)
     content = b"a body" if method == "POST" else None
+    if kind == "upload":
+        content = bytes(UPLOAD_BYTES)
     url = f"http://{node.front.address}{path}"
     return client.build_request(method, url, headers=headers, content=content)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -21,7 +21,7 @@
 """Statuses that guarantee that the request did not and will not run."""
 UNOWED_KINDS = ("leave", "bad", "fatal")
 """Kinds whose callers are owed no answer."""
-NON_IDEMPOTENT_KINDS = ("book", "once")
+NON_IDEMPOTENT_KINDS = ("book", "once", "upload")
 FAILED_ATTEMPT_STATUSES = (502, 504)
 """Statuses of a node for a failed attempt that may have run."""
 MIN_RETRY_TIME_S = 0.2
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -33,6 +33,7 @@
 START_TIMEOUT_S = 20.0
 PATIENT_TIMEOUT_MS = 6_000
 """Timeout of a route whose streams last longer than two silences."""
+MAX_BODY_BYTES = 8_000_000
 SECOND_KEY = "key-that-is-taken-away"
 
 ENGINE_PROFILE = {"read_per_s": 2e6, "pairs_per_m": 0.01}
@@ -197,6 +198,7 @@
         (stream_route,) = (
             route for route in config["routes"] if route["name"] == "stream"
         )
+        config["limits"] |= {"maxBodyBytes": MAX_BODY_BYTES}
         config["routes"] += [
             stream_route
             | {"name": "huge", "pathPrefix": "/huge/", "goalLatencyMs": 2_500},
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,12 +8,21 @@
 import anyio
 
 from soak.demands import Demand
+from standins.replica import ENDLESS
 
 DRAIN_LIMIT_S = 2.0
 """How long a replica that has announced its draining may still receive work."""
 MIN_DRAINING_S = 3.0
 COLD_DURATION_S = 2.0
 ENTRY_RETURN_DELAY_S = 1.0
+EARLY_ENDS = ("reset", "close", "half")
+ODD_ID = "odd"
+ODD_ENTRIES = (
+    {"address": "127.0.0.1:99999"}, {"address": ""}, {"slots": -1}, {"seq": 10**25},
+    {"slots": 10**25}, {"coldRemainingMs": 1e308}, {"born": 10**25}, {"zone": None},
+    b'{"a":' * 20_000, b"[" * 20_000, b"\xff", b"null",
+)  # fmt: skip
+"""Values that another writer leaves: changes of a replica's entry, or bytes."""
 TRUNCATED_SETTINGS = "[node]\nname = \nthis is no"
 
 CRASH_DOWN_S = 1.2
@@ -492,6 +501,36 @@
         self.revoked.append(time.monotonic())
         return []
 
+    async def _endless(self, fault):
+        """Make a replica send bytes without end for some requests."""
+        replica, _ = self._target_replica(fault)
+        kinds = ("endless", "endless-head", *ENDLESS)
+        replica.next_steps = [kinds[(fault.target // 64) % len(kinds)]] * 4
+        await anyio.sleep(fault.duration_s)
+        replica.next_steps = []
+        return [f"replica {replica.name}"]
+
+    async def _early(self, fault):
+        """Make a replica answer long requests before it has read them."""
+        replica, _ = self._target_replica(fault)
+        replica.early_end = EARLY_ENDS[(fault.target // 64) % len(EARLY_ENDS)]
+        await anyio.sleep(fault.duration_s)
+        replica.early_end = ""
+        return [f"replica {replica.name}"]
+
+    async def _odd_entry(self, fault):
+        """Write an entry that no replica writes, and remove it after a while."""
+        replica, _ = self._target_replica(fault)
+        changes = ODD_ENTRIES[(fault.target // 64) % len(ODD_ENTRIES)]
+        value = changes
+        if isinstance(changes, dict):
+            value = replica.entry(**changes)
+        store = self.deployment.store
+        store.put("keyed.servers", ODD_ID, value)
+        await anyio.sleep(fault.duration_s)
+        store.remove("keyed.servers", ODD_ID)
+        return []
+
     async def _lost_waits(self, fault):
         """Make the store lose its answers to reads that wait for a record."""
         return await self._lose_answers(fault, lambda target: "waitMs=0" not in target)
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,10 +17,12 @@
     CALL_KINDS_WITH_PATIENT,
     CALLER_COUNT,
     SMALL_CALL_KINDS,
+    UPLOAD_CALLER_NAME,
     is_fatal,
     run_bad_caller,
     run_caller,
     run_fatal_caller,
+    run_upload_caller,
 )
 from soak.checks import RunRecord, find_violations
 from soak.deployment import PATIENT_TIMEOUT_MS, STOP_NOTICE_S, STOP_S, Deployment
@@ -31,6 +33,7 @@
     generate_faults,
     generate_link_cuts,
     generate_losses,
+    generate_oddities,
     generate_silences,
 )
 
@@ -41,6 +44,8 @@
 LINK_CUT_COUNT = 3
 BURST_COUNT = 1
 LOSS_COUNT = 2
+ODDITY_COUNT = 4
+UPLOAD_CALLER_COUNT = 2
 FATAL_CALLER_COUNT = 2
 FRAMINGS = ("chunks", "close", "chunks-close")
 LINE_ENDS = ((b"\n",), (b"\r\n",), (b"\r",), (b"\r\n", b"\n"))
@@ -100,6 +105,7 @@
     link_cuts=0,
     bursts=0,
     losses=0,
+    oddities=0,
     has_bad_part=False,
     has_fatal_requests=False,
 ):
@@ -126,6 +132,9 @@
         Number of times in which nearly all new connections go to one node.
     losses : int
         Number of losses of the store's answers, likewise.
+    oddities : int
+        Number of faults in which replicas, or another writer, send what makes no sense.
+        With them, some callers send long requests.
     has_bad_part : bool
         Whether callers send prompts with a part that crashes replicas while there are
         faults. Replicas then end their streams in different ways.
@@ -134,12 +143,17 @@
         moments of the answer.
     """
     schedule = list(generate_faults(seed, seconds=seconds, count=count))
-    schedule += generate_silences(seed, seconds=seconds, count=quiets)
-    schedule += generate_demands(seed, seconds=seconds, count=demands)
-    schedule += generate_link_cuts(seed, seconds=seconds, count=link_cuts)
-    schedule += generate_bursts(seed, seconds=seconds, count=bursts)
-    schedule += generate_losses(seed, seconds=seconds, count=losses)
-    if quiets or demands or link_cuts or bursts or losses:
+    more = [
+        fault
+        for generate, number in (
+            (generate_silences, quiets), (generate_demands, demands),
+            (generate_link_cuts, link_cuts), (generate_bursts, bursts),
+            (generate_losses, losses), (generate_oddities, oddities),
+        )
+        for fault in generate(seed, seconds=seconds, count=number)
+    ]  # fmt: skip
+    schedule += more
+    if more:
         schedule.sort(key=lambda fault: fault.at_s)
     kinds, stop_s = CALL_KINDS, STOP_S
     if quiets:
@@ -167,6 +181,12 @@
                     # end with the faults, as the fleet isn't sized for them.
                     names = range(CALLER_COUNT, 2 * CALLER_COUNT)
                     start_callers(more_callers, names, SMALL_CALL_KINDS)
+                for name in range(UPLOAD_CALLER_COUNT if oddities else 0):
+                    rng = random.Random(f"{seed}/upload/{name}")
+                    more_callers.start_soon(
+                        run_upload_caller, deployment, attempts, rng,
+                        UPLOAD_CALLER_NAME + name,
+                    )  # fmt: skip
                 if has_bad_part:
                     add_bad_part(deployment)
                     for name in range(BAD_CALLER_COUNT):
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -20,6 +20,7 @@
 """From a cut that is hardly noticed before it ends to one that outlasts all rests."""
 LINK_REPEAT_SHARE = 0.4
 """Fraction of the cuts that come back soon after they have ended."""
+ODD_FAULTS = ("endless", "early", "odd_entry", "odd_entry")
 LOSS_FAULTS = ("lost_waits", "lost_waits", "lost_answers")
 LOSS_CHANGES = ("revoke", "domain_out", "configure")
 LOSS_RANGE_S = (0.3, 2.5)
@@ -163,6 +164,28 @@
     return faults
 
 
+def generate_oddities(seed, *, seconds, count):
+    """Return faults in which replicas, or another writer, send what makes no sense.
+
+    They use a separate random generator, as silences do.
+
+    Parameters
+    ----------
+    seed, seconds, count
+        As in ``generate_faults``.
+    """
+    rng = random.Random(f"{seed}/oddities")
+    return [
+        Fault(
+            rng.uniform(0.0, seconds),
+            rng.choice(ODD_FAULTS),
+            rng.randrange(1 << 16),
+            rng.uniform(0.3, 3.0),
+        )
+        for _ in range(count)
+    ]
+
+
 def generate_bursts(seed, *, seconds, count):
     """Return times in which nearly all new connections go to one node.
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -73,6 +73,11 @@
     anyio.run(lambda: check(39, seconds=5.0, count=5, demands=DEMAND_COUNT))
 
 
-def test_short_run_with_lost_answers_of_the_store_has_no_violations():
-    """Guards against revoked keys and closed domains that live on in lost reads."""
-    anyio.run(lambda: check(6605, seconds=5.0, count=3, losses=3))
+def test_short_run_with_lost_answers_and_odd_bytes_has_no_violations():
+    """The store loses answers, and replicas and another writer send odd bytes.
+
+    Guards against revoked keys and closed domains that live on in lost reads, parts of
+    answers to uploads that look whole, answers without end and odd entries.
+    """
+    options = {"seconds": 5.0, "count": 3, "losses": 3, "oddities": 6}
+    anyio.run(lambda: check(6605, **options))
