Promise nothing for a replica that ran a request and failed it

Cause: the status of a replica's answer was sent on whatever it promises to callers. Streams that may not be resumed did so with 408 and 429.

--- a/lycheetide/relay/_buffered.py
+++ b/lycheetide/relay/_buffered.py
@@ -16,7 +16,7 @@
     record_error_start,
 )
 from lycheetide.relay._evidence import record_failed_attempt
-from lycheetide.relay._outcomes import AttemptFailed, Cause, Refusal
+from lycheetide.relay._outcomes import PROMISE_STATUSES, AttemptFailed, Cause, Refusal
 from lycheetide.relay._quarantine import note_answered, note_written
 from lycheetide.relay._retries import claim_retry
 from lycheetide.relay._selection import (
@@ -92,6 +92,10 @@
     if last_answer is None:
         raise make_refusal(call, Cause.NO_REPLICA)
     answer, body = last_answer
+    if answer.status in PROMISE_STATUSES and not call.route.is_repeatable:
+        raise make_refusal(
+            call, Cause.UPSTREAM_ERROR, message=f"status {answer.status} of a replica"
+        )
     headers = relay.adapter.filter_response_headers(answer.headers)
     await reply.send_whole(answer.status, headers, body)
 
--- a/lycheetide/relay/_outcomes.py
+++ b/lycheetide/relay/_outcomes.py
@@ -32,6 +32,11 @@
     INTERNAL = "internal"
 
 
+PROMISE_STATUSES = frozenset({408, 429, 503})
+"""Statuses that promise a caller that its request hasn't run and won't. A replica that
+answers with one, and doesn't state that it hasn't run the request, promises nothing."""
+
+
 class AttemptFailed(Exception):
     """An attempt at one replica brought no answer.
 
--- a/lycheetide/relay/_stream.py
+++ b/lycheetide/relay/_stream.py
@@ -21,7 +21,12 @@
 )
 from lycheetide.relay._evidence import record_failed_attempt
 from lycheetide.relay._hedging import HedgedAttempts
-from lycheetide.relay._outcomes import AttemptFailed, Cause, StreamAborted
+from lycheetide.relay._outcomes import (
+    PROMISE_STATUSES,
+    AttemptFailed,
+    Cause,
+    StreamAborted,
+)
 from lycheetide.relay._presence import note_begun
 from lycheetide.relay._quarantine import note_answered, note_written
 from lycheetide.relay._reservations import MemoryUnavailable, reserve_memory
@@ -216,7 +221,9 @@
         call.may_have_run = True
         if attempt.answer.status != 200:
             with hold_answer(relay) as held:
-                await _forward_unstreamed(relay, reply, attempt, stream_attempt, held)
+                await _forward_unstreamed(
+                    relay, call, reply, attempt, stream_attempt, held=held
+                )
             return
         await _forward_head(relay, call, reply, progress, attempt)
         with hold_answer(relay) as held:
@@ -274,21 +281,23 @@
     return holders + [helper.id for helper in placement.helpers]
 
 
-async def _forward_unstreamed(relay, reply, attempt, stream_attempt, held):
+async def _forward_unstreamed(relay, call, reply, attempt, stream_attempt, *, held):
     """Forward an answer that isn't a stream."""
     try:
         body = await held.read(attempt.channel, timeout_s=MIN_CALLER_PATIENCE_S)
     except ChannelError as broken:
         raise make_failure(broken, attempt.channel) from broken
-    if reply.is_started or attempt.answer.status >= 500:
+    status = attempt.answer.status
+    is_promise = status in PROMISE_STATUSES and not call.route.is_repeatable
+    if reply.is_started or status >= 500 or is_promise:
         raise AttemptFailed(
             Cause.UPSTREAM_ERROR,
-            f"status {attempt.answer.status}",
+            f"status {status}",
             may_have_run=True,
         )
     headers = relay.adapter.filter_response_headers(attempt.answer.headers)
     stream_attempt.cancel_others()
-    await reply.send_whole(attempt.answer.status, headers, body)
+    await reply.send_whole(status, headers, body)
 
 
 async def _forward_events(
--- a/lycheetide/relay/tests/test_answers.py
+++ b/lycheetide/relay/tests/test_answers.py
@@ -527,3 +527,24 @@
     assert 0 < sent < 32_000_000
     assert responses[-1].status_code == 200
     assert any(one.message.endswith("An attempt failed.") for one in caplog.records)
+
+
+@pytest.mark.parametrize("status", [408, 429, 500, 503])
+@pytest.mark.parametrize("path", ["/book/b", "/stream-once/s", "/look/a"])
+async def test_a_request_that_has_run_is_never_reported_as_not_run(path, status):
+    """Guards against a booking that runs twice after a promise that nobody has made.
+
+    Its replica ran it and failed with a status that promises callers the contrary.
+    """
+    async with RelayDeployment() as fleet:
+        for replica in fleet.replicas:
+            replica.default_step = f"fail-{status}"
+        send = {"/book/b": fleet.book, "/look/a": fleet.look}.get(path, fleet.stream)
+        answer = await send() if path == "/book/b" else await send(path=path)
+        runs = fleet.runs()
+    if path == "/look/a":
+        assert answer.status_code == status
+        return
+    assert len(runs) == 1
+    assert answer.status_code == (500 if (path, status) == ("/book/b", 500) else 502)
+    assert answer.status_code == 500 or "lycheetide-response-seal" not in answer.headers
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -109,7 +109,8 @@
     next_steps : list
         Steps of the next requests: "refuse", "refuse-helped" (only those with helpers),
         "reset", "silent", "break", "stall", "garbled", "crossed", "extra", "unframed",
-        "unframed-reset", "fail", "other", "end" (a stream whose connection is closed
+        "unframed-reset", "fail" (after it has run the request, with a status such as in
+        "fail-429", 500 by default), "other", "end" (a stream whose connection is closed
         within the third event), "end-empty" (before the first one), "endless-head" and
         "endless" (bytes that are no answer, without end, in the head and in place of
         the third event), those of ``ENDLESS`` (the same in other places), "late" and
@@ -390,8 +391,9 @@
             "Lycheetide-Attempt-Id": attempt,
             "Lycheetide-Response-Seal": RESPONSE_SEAL,
         }
-        if step == "fail":
-            return Response(500, b"broken", head)
+        if step.startswith("fail"):
+            status = int(step.removeprefix("fail-")) if "-" in step else 500
+            return Response(status, b"broken", head)
         if step == "garbled":
             await stream.send(b"\x00\x01\x02 this is no answer\r\n\r\n")
             return None
