--- a/lycheetide/relay/_answers.py
+++ b/lycheetide/relay/_answers.py
@@ -23,7 +23,6 @@
         self._relay = relay
         self._scope: anyio.CancelScope | None = None
         self._is_given_up = False
-        self.key = relay.memory.make_key()
 
     async def read(self, channel, *, timeout_s, more=None):
         """Return the whole body of an answer.
@@ -39,11 +38,11 @@
                 body = await channel.read_all(
                     timeout_s=timeout_s, more=more, note_read=self._count
                 )
-                answers.finish(self.key)
+                answers.finish(self)
                 return body
             raise self._make_error(channel)
         finally:
-            answers.drop(self.key)
+            answers.drop(self)
 
     def count_event(self, channel, size):
         """Count the beginning of an event, of which the end hasn't arrived yet.
@@ -53,7 +52,7 @@
         ChannelError
             If the answer is given up.
         """
-        self._relay.memory.answers.drop(self.key)
+        self._relay.memory.answers.drop(self)
         if size >= MIN_COUNTED_BYTES:
             self._count(size)
         if self._is_given_up:
@@ -67,10 +66,9 @@
 
     def _count(self, size):
         """Count bytes that were read, and give up the longest answer if need be."""
-        memory = self._relay.memory
-        longest = memory.answers.add(self.key, size)
+        longest = self._relay.memory.answers.add(self, size)
         if longest is not None:
-            memory.readers[longest].give_up()
+            longest.give_up()
 
     def _make_error(self, channel):
         """Count and log that the answer was given up; return the error."""
@@ -89,9 +87,7 @@
 def hold_answer(relay):
     """Yield a reader of the answers to a call, whose bytes count until the end."""
     held = HeldAnswer(relay)
-    relay.memory.readers[held.key] = held
     try:
         yield held
     finally:
-        del relay.memory.readers[held.key]
-        relay.memory.answers.release(held.key)
+        relay.memory.answers.release(held)
--- a/lycheetide/relay/_memory.py
+++ b/lycheetide/relay/_memory.py
@@ -46,9 +46,7 @@
     replies : dict
         Each ``BufferedReply`` by its key.
     answers : AnswerBudget
-        Bytes of answers that aren't passed on as they arrive.
-    readers : dict
-        Each ``HeldAnswer`` by its key.
+        Bytes of answers that aren't passed on as they arrive, by ``HeldAnswer``.
     """
 
     def __init__(self, memory_mb=0.0):
@@ -57,7 +55,6 @@
         self.stage = MemoryStage.NORMAL
         self.replies = {}
         self.answers = AnswerBudget(compute_answer_limit_bytes(memory_mb))
-        self.readers = {}
         self.released_s = float("-inf")
         self.reported_peak_bytes = 0
         self._key_count = 0
