Release the memory of a prompt whose replica has gone dark

Cause: reservations are renewed as long as the attempt waits, and it waits as long as its replica may be reading, with nobody asking whether it lives.

Change: before a renewal, a replica that nobody has heard for 1 s is asked for its report. After two unanswered questions the reservations are released; the attempt waits on.

--- a/lycheetide/relay/_reservations.py
+++ b/lycheetide/relay/_reservations.py
@@ -36,6 +36,12 @@
 after the end of a request."""
 RENEWAL_INTERVAL_S = 1.0
 """Interval of renewals; a reservation outlives three lost ones."""
+MAX_UNANSWERED = 2
+"""Number of questions in a row after which a silent replica counts as dark; memory must
+be free within 4 s after the end of a run."""
+QUESTION_TIMEOUT_S = 0.4
+RECHECK_S = 0.2
+"""Pause after a question that wasn't answered."""
 MAX_ORDER_ANSWER_BYTES = 1_000_000
 ORDER_TIMEOUT_S = 0.6
 """Longest time to wait for the answer to an order."""
@@ -97,7 +103,7 @@
         reserve_all = _reserve_all_in_turn
     memory, reservations = await reserve_all(relay, call, wait_s)
     renewal = anyio.CancelScope()
-    relay.tasks.start_soon(_renew, relay, reservations, renewal)
+    relay.tasks.start_soon(_renew, relay, memory, reservations, renewal)
     try:
         yield memory
     finally:
@@ -313,11 +319,28 @@
     results[ticket] = head is not None and head.status == 200
 
 
-async def _renew(relay, reservations, scope):
-    """Renew reservations until the scope is cancelled."""
+async def _renew(relay, memory, reservations, scope):
+    """Renew reservations until the scope is cancelled, or the prompt's replica is dark.
+
+    The run has ended then, and others need the memory. The attempt goes on waiting, as
+    its replica may only be cut off from this node.
+    """
+    first = None if memory.placement is None else memory.placement.first.id
+    unanswered = 0
     with scope:
         while True:
-            await anyio.sleep(RENEWAL_INTERVAL_S)
+            await anyio.sleep(RECHECK_S if unanswered else RENEWAL_INTERVAL_S)
+            is_dark = first is not None and await is_unresponsive(relay, first)
+            unanswered = unanswered + 1 if is_dark else 0
+            if unanswered == MAX_UNANSWERED:
+                relay.counters.add("tickets.abandoned")
+                relay.log.info(
+                    "The memory of a prompt is released, as its replica is dark.",
+                    extra={"replica": first, "tickets": len(reservations)},
+                )
+                for address, ticket, _ in reservations:
+                    relay.tasks.start_soon(_release, relay, address, ticket)
+                return
             for address, ticket, tokens in reservations:
                 order = relay.adapter.encode_reserve(
                     address, ticket, tokens, RESERVATION_TTL_S
@@ -325,6 +348,36 @@
                 relay.tasks.start_soon(_order, relay, order, address)
 
 
+async def is_unresponsive(relay, replica):
+    """Tell whether a replica that nobody hears answers no question either.
+
+    Returns
+    -------
+    bool
+        False also if it can't be asked: it is cold, rests or isn't listed any more.
+    """
+    now_s = read_clock()
+    if relay.failure_detector.last_heard_s(replica) > now_s - RENEWAL_INTERVAL_S:
+        return False
+    known = relay.replicas.replicas.get(replica)
+    if known is None or known.is_cold(now_s=now_s):
+        return False
+    if replica in relay.list_withheld(now_s=now_s):
+        return False
+    relay.used.add("reports")
+    try:
+        await relay.pool.call(
+            known.entry.address,
+            relay.adapter.encode_report_request(known.entry),
+            timeout_s=QUESTION_TIMEOUT_S,
+            read_clock=read_clock,
+            max_bytes=MAX_ORDER_ANSWER_BYTES,
+        )
+    except (ChannelConnectError, ChannelError):
+        return True
+    return False
+
+
 async def _release(relay, address, ticket):
     """Release one reservation; if the replica isn't reached, it expires by itself."""
     await _order(relay, relay.adapter.encode_release(address, ticket), address)
